--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,13 +9,13 @@
 	"runtime/debug"
 	"time"
 
-	"walnuthub"
-	"walnuthub/internal/wire"
+	"tillerusher"
+	"tillerusher/internal/wire"
 )
 
 // hosted is one instance with the order of its gauges.
 type hosted struct {
-	instance *walnuthub.Instance
+	instance *tillerusher.Instance
 	actions  *wire.Actions
 	gauges   []string
 	touched  bool
@@ -106,9 +106,9 @@
 	h.drop(e.Instance)
 	settings, gauges, err := wire.ParseSettings(e.Settings)
 	actions := &wire.Actions{Reply: &h.reply, Instance: e.Instance}
-	var instance *walnuthub.Instance
+	var instance *tillerusher.Instance
 	if err == nil {
-		instance, err = walnuthub.New(settings, actions)
+		instance, err = tillerusher.New(settings, actions)
 	}
 	if err != nil {
 		h.reply.Exception(e.Instance, err.Error())
@@ -146,8 +146,8 @@
 }
 
 // read names the gauges of a ring event.
-func (t *hosted) read(values []float64) walnuthub.Gauges {
-	g := walnuthub.Gauges{Busy: -1}
+func (t *hosted) read(values []float64) tillerusher.Gauges {
+	g := tillerusher.Gauges{Busy: -1}
 	for i, name := range t.gauges {
 		if i < len(values) && name == "cpu_busy" {
 			g.Busy = values[i]
--- a/example_test.go
+++ b/example_test.go
@@ -1,18 +1,18 @@
-package walnuthub_test
+package tillerusher_test
 
 import (
 	"fmt"
 	"time"
 
-	"walnuthub"
+	"tillerusher"
 )
 
 // printer carries out the few actions that this example needs; the others are promoted from the nil interface
 // and must not be called.
-type printer struct{ walnuthub.Actions }
+type printer struct{ tillerusher.Actions }
 
-func (printer) Run(id walnuthub.RequestID) { fmt.Println("run", id) }
-func (printer) Refuse(id walnuthub.RequestID, stayAway time.Duration, _ bool) {
+func (printer) Run(id tillerusher.RequestID) { fmt.Println("run", id) }
+func (printer) Refuse(id tillerusher.RequestID, stayAway time.Duration, _ bool) {
 	fmt.Println("refuse", id, "and stay away for", stayAway)
 }
 func (printer) Health(good, _ bool)         { fmt.Println("healthy:", good) }
@@ -22,14 +22,14 @@
 
 // A server with one class of requests takes one in, ends it, and leaves.
 func Example() {
-	settings := walnuthub.Settings{
+	settings := tillerusher.Settings{
 		Servers: 3, Callers: 2, Cores: 4, Tick: 5 * time.Millisecond,
-		Classes:  []walnuthub.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
-		Tenants:  []walnuthub.Tenant{{Quota: 30}},
+		Classes:  []tillerusher.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
+		Tenants:  []tillerusher.Tenant{{Quota: 30}},
 		MemoryKB: 1 << 20, RunFactor: 4, CrowdFactor: 6, DrainGrace: 2 * time.Second,
 		RetryAfter: time.Second, Deadlines: true,
 	}
-	instance, err := walnuthub.New(settings, printer{})
+	instance, err := tillerusher.New(settings, printer{})
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -38,16 +38,16 @@
 	instance.Settle(now)
 
 	now += 10 * time.Millisecond
-	instance.Request(now, walnuthub.Request{ID: 1, SizeKB: 20, Budget: 3 * time.Second})
+	instance.Request(now, tillerusher.Request{ID: 1, SizeKB: 20, Budget: 3 * time.Second})
 	instance.Settle(now) // once after each group of simultaneous events
 
 	now += 200 * time.Millisecond
-	instance.Done(now, 1, walnuthub.OK)
+	instance.Done(now, 1, tillerusher.OK)
 	instance.Drain(now, 5*time.Second)
 	instance.Settle(now)
 
 	now += 2500 * time.Millisecond
-	instance.Request(now, walnuthub.Request{ID: 2, SizeKB: 20, Budget: 3 * time.Second})
+	instance.Request(now, tillerusher.Request{ID: 2, SizeKB: 20, Budget: 3 * time.Second})
 	instance.Settle(now)
 	// Output:
 	// healthy: true
--- a/host_test.go
+++ b/host_test.go
@@ -1,4 +1,4 @@
-package walnuthub
+package tillerusher
 
 import (
 	"fmt"
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"walnuthub"
+	"tillerusher"
 )
 
 // Sizes of the framing in bytes.
@@ -48,11 +48,11 @@
 type Event struct {
 	Code     Code
 	Instance uint32
-	ID       walnuthub.RequestID
+	ID       tillerusher.RequestID
 	Token    uint32
 	Duration time.Duration // time since the start, or until the process stops
-	Outcome  walnuthub.Outcome
-	Request  walnuthub.Request
+	Outcome  tillerusher.Outcome
+	Request  tillerusher.Request
 	Gauges   []float64
 	Settings []byte
 }
@@ -64,9 +64,9 @@
 }
 
 // outcomes translates the codes of the wire.
-var outcomes = map[byte]walnuthub.Outcome{
-	0: walnuthub.OK, 255: walnuthub.Errored, 254: walnuthub.Rejected, 253: walnuthub.TimedOut,
-	252: walnuthub.Unreachable, 251: walnuthub.Reset, 250: walnuthub.Cancelled, 249: walnuthub.Moot,
+var outcomes = map[byte]tillerusher.Outcome{
+	0: tillerusher.OK, 255: tillerusher.Errored, 254: tillerusher.Rejected, 253: tillerusher.TimedOut,
+	252: tillerusher.Unreachable, 251: tillerusher.Reset, 250: tillerusher.Cancelled, 249: tillerusher.Moot,
 }
 
 // Reader decodes batches from a stream.
@@ -121,7 +121,7 @@
 	u32 := func(at int) uint32 { return binary.LittleEndian.Uint32(p[at:]) }
 	u64 := func(at int) uint64 { return binary.LittleEndian.Uint64(p[at:]) }
 	f32 := func(at int) float64 { return float64(math.Float32frombits(u32(at))) }
-	e := Event{Code: Code(p[0]), Instance: u32(1), ID: walnuthub.RequestID(u32(5))}
+	e := Event{Code: Code(p[0]), Instance: u32(1), ID: tillerusher.RequestID(u32(5))}
 	var known bool
 	switch e.Code {
 	case Attach:
@@ -148,10 +148,10 @@
 		}
 	case Call:
 		opts := binary.LittleEndian.Uint16(p[34:])
-		e.Request = walnuthub.Request{
+		e.Request = tillerusher.Request{
 			ID: e.ID, Subject: u64(9), Waited: time.Duration(u64(17)), Class: int(p[25]),
 			Budget: time.Duration(u64(26)), Retry: opts&optRetry != 0, Tenant: int(u32(36)),
-			Caller: int(binary.LittleEndian.Uint16(p[40:])), Repeats: walnuthub.RequestID(u32(42)),
+			Caller: int(binary.LittleEndian.Uint16(p[40:])), Repeats: tillerusher.RequestID(u32(42)),
 			SizeKB: f32(46),
 		}
 		if opts&optHint != 0 {
@@ -206,13 +206,13 @@
 	r.tail = append(r.tail, text...)
 }
 
-// Actions writes one instance's actions into a reply; it implements walnuthub.Actions.
+// Actions writes one instance's actions into a reply; it implements tillerusher.Actions.
 type Actions struct {
 	Reply    *Reply
 	Instance uint32
 }
 
-func (a *Actions) request(code byte, id walnuthub.RequestID) []byte {
+func (a *Actions) request(code byte, id tillerusher.RequestID) []byte {
 	p := a.Reply.add(code, a.Instance)
 	binary.LittleEndian.PutUint32(p[5:], uint32(id))
 	return p
@@ -226,63 +226,63 @@
 	}
 }
 
-// Run implements walnuthub.Actions.
-func (a *Actions) Run(id walnuthub.RequestID) { a.request(77, id) }
+// Run implements tillerusher.Actions.
+func (a *Actions) Run(id tillerusher.RequestID) { a.request(77, id) }
 
-// Refuse implements walnuthub.Actions.
-func (a *Actions) Refuse(id walnuthub.RequestID, stayAway time.Duration, last bool) {
+// Refuse implements tillerusher.Actions.
+func (a *Actions) Refuse(id tillerusher.RequestID, stayAway time.Duration, last bool) {
 	p := a.request(72, id)
 	putTime(p[9:], stayAway)
 	putBool(p[17:], last)
 }
 
-// Fail implements walnuthub.Actions.
-func (a *Actions) Fail(id walnuthub.RequestID) { a.request(79, id) }
+// Fail implements tillerusher.Actions.
+func (a *Actions) Fail(id tillerusher.RequestID) { a.request(79, id) }
 
-// Call implements walnuthub.Actions.
-func (a *Actions) Call(id walnuthub.RequestID, timeout time.Duration) {
+// Call implements tillerusher.Actions.
+func (a *Actions) Call(id tillerusher.RequestID, timeout time.Duration) {
 	putTime(a.request(71, id)[9:], timeout)
 }
 
-// Skip implements walnuthub.Actions.
-func (a *Actions) Skip(id walnuthub.RequestID) { a.request(66, id) }
+// Skip implements tillerusher.Actions.
+func (a *Actions) Skip(id tillerusher.RequestID) { a.request(66, id) }
 
-// Halt implements walnuthub.Actions.
-func (a *Actions) Halt(id walnuthub.RequestID) { a.request(76, id) }
+// Halt implements tillerusher.Actions.
+func (a *Actions) Halt(id tillerusher.RequestID) { a.request(76, id) }
 
-// Keep implements walnuthub.Actions.
-func (a *Actions) Keep(id walnuthub.RequestID, lifetime time.Duration) {
+// Keep implements tillerusher.Actions.
+func (a *Actions) Keep(id tillerusher.RequestID, lifetime time.Duration) {
 	putTime(a.request(73, id)[9:], lifetime)
 }
 
-// Forget implements walnuthub.Actions.
-func (a *Actions) Forget(id walnuthub.RequestID) { a.request(78, id) }
+// Forget implements tillerusher.Actions.
+func (a *Actions) Forget(id tillerusher.RequestID) { a.request(78, id) }
 
-// Reuse implements walnuthub.Actions.
-func (a *Actions) Reuse(id walnuthub.RequestID) { a.request(70, id) }
+// Reuse implements tillerusher.Actions.
+func (a *Actions) Reuse(id tillerusher.RequestID) { a.request(70, id) }
 
-// Say implements walnuthub.Actions.
+// Say implements tillerusher.Actions.
 func (a *Actions) Say(value float64) {
 	p := a.Reply.add(68, a.Instance)
 	binary.LittleEndian.PutUint32(p[5:], math.Float32bits(float32(value)))
 }
 
-// Health implements walnuthub.Actions.
+// Health implements tillerusher.Actions.
 func (a *Actions) Health(good, fromStore bool) {
 	p := a.Reply.add(74, a.Instance)
 	putBool(p[5:], good)
 	putBool(p[6:], fromStore)
 }
 
-// CloseIdle implements walnuthub.Actions.
+// CloseIdle implements tillerusher.Actions.
 func (a *Actions) CloseIdle(idle time.Duration) { putTime(a.Reply.add(67, a.Instance)[5:], idle) }
 
-// After implements walnuthub.Actions.
+// After implements tillerusher.Actions.
 func (a *Actions) After(wait time.Duration, token uint32) {
 	p := a.Reply.add(69, a.Instance)
 	putTime(p[5:], wait)
 	binary.LittleEndian.PutUint32(p[13:], token)
 }
 
-// Log implements walnuthub.Actions.
+// Log implements tillerusher.Actions.
 func (a *Actions) Log(line string) { a.Reply.text(65, a.Instance, line) }
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"walnuthub"
+	"tillerusher"
 )
 
 // frame turns spaced hex into bytes; +N stands for N zero bytes.
@@ -49,7 +49,7 @@
 	if b.Now != 0x1f568bf90 || len(b.Events) != 3 {
 		t.Fatalf("clock %d, %d events", b.Now, len(b.Events))
 	}
-	want := walnuthub.Request{ID: 0x5d3a91c4, Subject: 0x91f03b7c55d20a64, Waited: 1850 * time.Microsecond,
+	want := tillerusher.Request{ID: 0x5d3a91c4, Subject: 0x91f03b7c55d20a64, Waited: 1850 * time.Microsecond,
 		Budget: 240 * time.Millisecond, Caller: 17, Repeats: 0x0e6f2b19, SizeKB: 24.5,
 		Work: 12 * time.Millisecond}
 	if got := b.Events[0].Request; !reflect.DeepEqual(got, want) {
@@ -182,11 +182,11 @@
 		t.Fatal(err)
 	}
 	if s.Cores != 6 || s.Servers != 11 || s.Tick != 4*time.Millisecond || !s.Cold ||
-		s.StopMode != walnuthub.StopDrop || s.Feedback != walnuthub.FeedbackWeight ||
-		s.Below != walnuthub.DependencyTier || s.RetryAfter != time.Second || s.Tenants[0].Quota != 33 {
+		s.StopMode != tillerusher.StopDrop || s.Feedback != tillerusher.FeedbackWeight ||
+		s.Below != tillerusher.DependencyTier || s.RetryAfter != time.Second || s.Tenants[0].Quota != 33 {
 		t.Errorf("settings %+v", s)
 	}
-	if c := s.Classes[1]; c.Effect != walnuthub.Keyed || c.Window != 17058*time.Millisecond || c.SkipWorth != 0 || c.Worth != 2 {
+	if c := s.Classes[1]; c.Effect != tillerusher.Keyed || c.Window != 17058*time.Millisecond || c.SkipWorth != 0 || c.Worth != 2 {
 		t.Errorf("class %+v", c)
 	}
 	if s.Classes[0].SkipWorth != 0.3 || !reflect.DeepEqual(gauges, []string{"cpu_busy", "sockets"}) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"walnuthub"
+	"tillerusher"
 )
 
 // settingsText mirrors the JSON object of an attach event; unknown keys are skipped.
@@ -65,12 +65,12 @@
 }
 
 // ParseSettings reads the settings of an attach event and the order of its gauges.
-func ParseSettings(text []byte) (walnuthub.Settings, []string, error) {
+func ParseSettings(text []byte) (tillerusher.Settings, []string, error) {
 	var t settingsText
 	if err := json.Unmarshal(text, &t); err != nil {
-		return walnuthub.Settings{}, nil, fmt.Errorf("settings: %w", err)
+		return tillerusher.Settings{}, nil, fmt.Errorf("settings: %w", err)
 	}
-	s := walnuthub.Settings{
+	s := tillerusher.Settings{
 		Servers: t.Servers, Callers: t.Info.Callers, Cores: t.Info.Cores, Tick: t.Tick,
 		Cold: t.Info.Cold, ColdShare: t.Rules.ColdShare, ColdFor: t.Rules.ColdFor,
 		MemoryKB: t.Info.MemoryKB, KeyKB: t.Info.KeyKB, RunFactor: t.Info.RunFactor,
@@ -84,14 +84,14 @@
 		s.RetryAfter = t.Limits.MaxRetryAfter
 	}
 	for _, r := range t.Realms {
-		s.Tenants = append(s.Tenants, walnuthub.Tenant{Quota: r.Quota})
+		s.Tenants = append(s.Tenants, tillerusher.Tenant{Quota: r.Quota})
 	}
 	var err error
 	for i, l := range t.Lanes {
-		c := walnuthub.Class{Aim: l.Aim, AimStretch: l.AimStretch, Deadline: l.Deadline, Worth: l.Worth,
+		c := tillerusher.Class{Aim: l.Aim, AimStretch: l.AimStretch, Deadline: l.Deadline, Worth: l.Worth,
 			LateWorth: l.LateWorth, Window: l.Window}
-		if c.Effect, err = lookup("lanes[].repeat", l.Repeat, map[string]walnuthub.Effect{
-			"retryable": walnuthub.Safe, "dedup": walnuthub.Keyed, "fragile": walnuthub.Unsafe}); err != nil {
+		if c.Effect, err = lookup("lanes[].repeat", l.Repeat, map[string]tillerusher.Effect{
+			"retryable": tillerusher.Safe, "dedup": tillerusher.Keyed, "fragile": tillerusher.Unsafe}); err != nil {
 			return s, nil, err
 		}
 		if i < len(t.Info.SkipWorth) {
@@ -99,16 +99,16 @@
 		}
 		s.Classes = append(s.Classes, c)
 	}
-	if s.StopMode, err = lookup("stop-mode", t.Info.StopMode, map[string]walnuthub.StopMode{
-		"none": walnuthub.StopNone, "drop": walnuthub.StopDrop, "pause": walnuthub.StopPause}); err != nil {
+	if s.StopMode, err = lookup("stop-mode", t.Info.StopMode, map[string]tillerusher.StopMode{
+		"none": tillerusher.StopNone, "drop": tillerusher.StopDrop, "pause": tillerusher.StopPause}); err != nil {
 		return s, nil, err
 	}
-	if s.Below, err = lookup("below", t.Info.Below, map[string]walnuthub.Dependency{
-		"none": walnuthub.DependencyNone, "shared": walnuthub.DependencyShared, "tier": walnuthub.DependencyTier}); err != nil {
+	if s.Below, err = lookup("below", t.Info.Below, map[string]tillerusher.Dependency{
+		"none": tillerusher.DependencyNone, "shared": tillerusher.DependencyShared, "tier": tillerusher.DependencyTier}); err != nil {
 		return s, nil, err
 	}
-	s.Feedback, err = lookup("say", t.Info.Say, map[string]walnuthub.Feedback{
-		"none": walnuthub.FeedbackNone, "level": walnuthub.FeedbackLevel,
-		"credit": walnuthub.FeedbackCredit, "weight": walnuthub.FeedbackWeight})
+	s.Feedback, err = lookup("say", t.Info.Say, map[string]tillerusher.Feedback{
+		"none": tillerusher.FeedbackNone, "level": tillerusher.FeedbackLevel,
+		"credit": tillerusher.FeedbackCredit, "weight": tillerusher.FeedbackWeight})
 	return s, t.Info.Gauges, err
 }
--- a/policy.go
+++ b/policy.go
@@ -1,6 +1,6 @@
-// The interface (types, events, actions) is in walnuthub.go; this file holds every decision.
+// The interface (types, events, actions) is in tillerusher.go; this file holds every decision.
 
-package walnuthub
+package tillerusher
 
 import (
 	"fmt"
@@ -173,7 +173,7 @@
 	}
 	for _, f := range positive {
 		if !(f.value > 0) || math.IsInf(f.value, 0) {
-			return fmt.Errorf("walnuthub: %s is %v, want more than 0", f.name, f.value)
+			return fmt.Errorf("tillerusher: %s is %v, want more than 0", f.name, f.value)
 		}
 	}
 	return nil
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package walnuthub
+package tillerusher
 
 import (
 	"bufio"
@@ -521,7 +521,7 @@
 	lines := 0
 	for scan := bufio.NewScanner(f); scan.Scan(); {
 		text := scan.Text()
-		if lines == 0 && !strings.Contains(text, "walnuthub.go") {
+		if lines == 0 && !strings.Contains(text, "tillerusher.go") {
 			t.Error("the first line does not name the interface file")
 		}
 		if strings.TrimSpace(text) != "" {
--- a/walnuthub.go
+++ b/tillerusher.go
@@ -1,4 +1,4 @@
-// Package walnuthub decides, for one server behind balancers that it does not control, which requests to
+// Package tillerusher decides, for one server behind balancers that it does not control, which requests to
 // take, run, postpone, answer from an earlier run or turn away.
 //
 // The host owns sockets, clocks and work. It creates one Instance for each server process with New, reports
@@ -9,7 +9,7 @@
 // All times are durations since an origin of the host's choosing that never moves.
 //
 // This file holds the interface only; every decision is in policy.go.
-package walnuthub
+package tillerusher
 
 import "time"
 
