--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,14 +10,15 @@
 	"time"
 
 	"tillerusher"
+	"tillerusher/internal/settings"
 	"tillerusher/internal/wire"
 )
 
-// hosted is one instance with the order of its gauges.
+// hosted is one instance with what its settings say.
 type hosted struct {
 	instance *tillerusher.Instance
 	actions  *wire.Actions
-	gauges   []string
+	told     *settings.Told
 	touched  bool
 }
 
@@ -104,17 +105,17 @@
 // attach starts an instance in place of any earlier one of its number.
 func (h *host) attach(e *wire.Event) {
 	h.drop(e.Instance)
-	settings, gauges, err := wire.ParseSettings(e.Settings)
+	told, err := settings.Parse(e.Settings)
 	actions := &wire.Actions{Reply: &h.reply, Instance: e.Instance}
 	var instance *tillerusher.Instance
 	if err == nil {
-		instance, err = tillerusher.New(settings, actions)
+		instance, err = tillerusher.New(told.Module, actions)
 	}
 	if err != nil {
 		h.reply.Exception(e.Instance, err.Error())
 		return
 	}
-	h.instances[e.Instance] = &hosted{instance: instance, actions: actions, gauges: gauges}
+	h.instances[e.Instance] = &hosted{instance: instance, actions: actions, told: told}
 }
 
 // drop forgets a dead process.
@@ -141,17 +142,6 @@
 	case wire.SigTerm:
 		t.instance.Drain(now, e.Duration)
 	case wire.Ring:
-		t.instance.Timer(now, e.Token, t.read(e.Gauges))
+		t.instance.Timer(now, e.Token, t.told.Read(e.Gauges))
 	}
 }
-
-// read names the gauges of a ring event.
-func (t *hosted) read(values []float64) tillerusher.Gauges {
-	g := tillerusher.Gauges{Busy: -1}
-	for i, name := range t.gauges {
-		if i < len(values) && name == "cpu_busy" {
-			g.Busy = values[i]
-		}
-	}
-	return g
-}
--- /dev/null
+++ b/cmd/tillerusher/main.go
@@ -0,0 +1,10 @@
+// Command tillerusher is one catalogue server.
+package main
+
+import (
+	"os"
+
+	"tillerusher/server"
+)
+
+func main() { os.Exit(server.Main(os.Getenv, os.Stderr)) }
--- /dev/null
+++ b/internal/fastcgi/session.go
@@ -0,0 +1,246 @@
+package fastcgi
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"tillerusher/internal/front"
+)
+
+// Limits bound what one session takes in.
+type Limits struct {
+	Requests int // requests open at a time
+	Params   int // bytes of the parameters of one request
+	Body     int // bytes of the body of one request
+}
+
+// request is one open request of a session.
+type request struct {
+	keep       bool // the connection stays open after the answer
+	params     []byte
+	body       []byte
+	paramsDone bool
+	handed     bool // the handler has it
+	flawed     bool
+	flaw       front.Flaw
+}
+
+// Session is the state of one connection.
+type Session struct {
+	limits   Limits
+	out      front.Output
+	handler  front.Handler
+	parse    parser
+	open     map[uint16]*request
+	control  []byte // content of a BEGIN_REQUEST or management record
+	finished bool
+	buf      []byte
+}
+
+// New returns a protocol whose sessions keep to the limits.
+func New(l Limits) front.Protocol {
+	return func(out front.Output, h front.Handler) front.Session {
+		return &Session{limits: l, out: out, handler: h, open: map[uint16]*request{}}
+	}
+}
+
+// Feed implements front.Session.
+func (s *Session) Feed(p []byte) error {
+	if s.finished {
+		return nil // the answer that ends the connection is on its way
+	}
+	return s.parse.feed(p, s)
+}
+
+// Open implements front.Session.
+func (s *Session) Open() int { return len(s.open) }
+
+// Finished implements front.Session.
+func (s *Session) Finished() bool { return s.finished && len(s.open) == 0 }
+
+// part takes in content as it comes. What is over a limit is dropped and noted.
+func (s *Session) part(r record, p []byte) {
+	q := s.open[r.id]
+	switch {
+	case r.kind == typeParams && q != nil && !q.paramsDone:
+		q.params = s.grow(q, q.params, p, s.limits.Params)
+	case r.kind == typeStdin && q != nil && !q.handed:
+		q.body = s.grow(q, q.body, p, s.limits.Body)
+	case r.kind == typeBegin || r.id == 0:
+		if len(s.control)+len(p) <= s.limits.Params {
+			s.control = append(s.control, p...)
+		}
+	}
+}
+
+// grow appends to a part of a request within its limit.
+func (s *Session) grow(q *request, to, p []byte, limit int) []byte {
+	if len(to)+len(p) > limit {
+		q.spoil(front.TooLarge)
+		return to
+	}
+	return append(to, p...)
+}
+
+// spoil notes the first flaw of a request.
+func (q *request) spoil(f front.Flaw) {
+	if !q.flawed {
+		q.flawed, q.flaw = true, f
+	}
+}
+
+// end acts on a whole record. Records of requests that are not open are passed over, as the gateway may have
+// sent them before it saw the end.
+func (s *Session) end(r record) error {
+	control := s.control
+	s.control = s.control[:0]
+	if r.id == 0 {
+		return s.manage(r, control)
+	}
+	if r.kind == typeBegin {
+		return s.begin(r, control)
+	}
+	q := s.open[r.id]
+	if q == nil {
+		return nil
+	}
+	switch r.kind {
+	case typeParams:
+		if r.content == 0 {
+			q.paramsDone = true
+		}
+	case typeStdin:
+		if r.content == 0 && !q.handed {
+			s.complete(r.id, q)
+		}
+	case typeAbort:
+		if q.handed {
+			s.handler.Aborted(s, front.Stream(r.id))
+		} else {
+			s.finish(r.id, q, appendEnd(s.buf[:0], r.id, 1, statusComplete))
+		}
+	}
+	return nil
+}
+
+// begin opens a request.
+func (s *Session) begin(r record, content []byte) error {
+	if len(content) < 8 {
+		return fmt.Errorf("fastcgi: BEGIN_REQUEST of %d bytes", len(content))
+	}
+	if s.open[r.id] != nil {
+		return fmt.Errorf("fastcgi: request %d begins while it is open", r.id)
+	}
+	role := binary.BigEndian.Uint16(content)
+	keep := content[2]&flagKeepConn != 0
+	switch {
+	case role != roleResponder:
+		s.reject(r.id, keep, front.BadRole, statusUnknownRole)
+	case len(s.open) >= s.limits.Requests:
+		s.reject(r.id, keep, front.TooMany, statusOverloaded)
+	default:
+		s.open[r.id] = &request{keep: keep}
+	}
+	return nil
+}
+
+// reject ends a request that was not opened.
+func (s *Session) reject(id uint16, keep bool, f front.Flaw, status byte) {
+	s.out.Write(appendEnd(s.buf[:0], id, 1, status))
+	s.finished = s.finished || !keep
+	s.handler.Flawed(f)
+}
+
+// complete hands over a request whose last byte came, or answers one that can't be handed over.
+func (s *Session) complete(id uint16, q *request) {
+	q.handed = true
+	r := front.Request{Body: q.body, Fields: make(map[string]string, 16)}
+	if !q.paramsDone {
+		q.spoil(front.Malformed)
+	}
+	if !q.flawed && pairs(q.params, func(name, value []byte) { set(&r, string(name), string(value)) }) != nil {
+		q.spoil(front.Malformed)
+	}
+	q.params = nil
+	if q.flawed {
+		status := 400
+		if q.flaw == front.TooLarge {
+			status = 413
+		}
+		s.handler.Flawed(q.flaw)
+		s.Answer(front.Stream(id), front.Answer{Status: status})
+		return
+	}
+	s.handler.Request(s, front.Stream(id), r)
+}
+
+// set stores one parameter.
+func set(r *front.Request, name, value string) {
+	switch name {
+	case "REQUEST_METHOD":
+		r.Method = value
+	case "SCRIPT_NAME":
+		r.Path = value
+	case "QUERY_STRING":
+		r.Query = value
+	default:
+		if field, ok := strings.CutPrefix(name, "HTTP_"); ok {
+			r.Fields[strings.ReplaceAll(strings.ToLower(field), "_", "-")] = value
+		}
+	}
+}
+
+// Answer implements front.Session.
+func (s *Session) Answer(stream front.Stream, a front.Answer) {
+	id := uint16(stream)
+	q := s.open[id]
+	if q == nil || !q.handed {
+		return
+	}
+	if a.Overloaded {
+		s.finish(id, q, appendEnd(s.buf[:0], id, 1, statusOverloaded))
+		return
+	}
+	text := make([]byte, 0, 128+len(a.Body))
+	text = append(append(text, "Status: "...), strconv.Itoa(a.Status)...)
+	text = append(text, "\r\n"...)
+	for _, f := range a.Fields {
+		text = append(append(append(append(text, f.Name...), ": "...), f.Value...), "\r\n"...)
+	}
+	text = append(append(text, "\r\n"...), a.Body...)
+	s.buf = appendStream(s.buf[:0], typeStdout, id, text)
+	s.finish(id, q, appendEnd(s.buf, id, 0, statusComplete))
+}
+
+// finish writes a request's last records and closes it.
+func (s *Session) finish(id uint16, q *request, records []byte) {
+	s.out.Write(records)
+	s.buf = records[:0]
+	delete(s.open, id)
+	s.finished = s.finished || !q.keep
+}
+
+// manage answers a management record.
+func (s *Session) manage(r record, content []byte) error {
+	if r.kind != typeGetValues {
+		b := appendHeader(s.buf[:0], typeUnknown, 0, 8)
+		s.out.Write(append(b, r.kind, 0, 0, 0, 0, 0, 0, 0))
+		return nil
+	}
+	var reply []byte
+	err := pairs(content, func(name, _ []byte) {
+		switch string(name) {
+		case "FCGI_MAX_REQS":
+			reply = appendPair(reply, string(name), strconv.Itoa(s.limits.Requests))
+		case "FCGI_MPXS_CONNS":
+			reply = appendPair(reply, string(name), "1")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	s.out.Write(append(appendHeader(s.buf[:0], typeGetValuesResult, 0, len(reply)), reply...))
+	return nil
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,63 @@
+// Package front holds what the server and a gateway protocol agree on: requests come in, answers go out, and
+// a connection may go away. A second protocol would implement Session beside the one for FastCGI.
+package front
+
+// Stream names one open request of a connection.
+type Stream uint32
+
+// Request is one whole request as a gateway sent it.
+type Request struct {
+	Method, Path, Query string
+	Fields              map[string]string // header fields, by their names in lower case
+	Body                []byte            // not shared with the session
+}
+
+// Field is one header of an answer.
+type Field struct{ Name, Value string }
+
+// Answer is the final answer to one request.
+type Answer struct {
+	Status     int
+	Overloaded bool // the protocol's own way to say that too much is open, in place of Status
+	Fields     []Field
+	Body       []byte
+}
+
+// Flaw says why a request was not understood.
+type Flaw uint8
+
+// The flaws that a session finds.
+const (
+	Malformed Flaw = iota // its parts contradict each other
+	TooLarge              // its fields or body are over the limits
+	TooMany               // more requests than may be open on one connection
+	BadRole               // a role that is not served
+)
+
+// Handler takes in what sessions read.
+type Handler interface {
+	// Request hands over a whole request, which is owed one Answer.
+	Request(s Session, id Stream, r Request)
+	// Aborted says that the gateway gave up an open request, which is still owed its Answer.
+	Aborted(s Session, id Stream)
+	// Flawed says that the session itself answered a request that it could not hand over.
+	Flawed(f Flaw)
+}
+
+// Output takes bytes for the peer; what one round writes is sent together.
+type Output interface{ Write(p []byte) }
+
+// Session is one connection of a gateway.
+type Session interface {
+	// Feed takes in the next bytes; after an error the connection can only be closed.
+	Feed(p []byte) error
+	// Answer ends an open request; one that is not open any more is left alone.
+	Answer(id Stream, a Answer)
+	// Open is how many requests were begun and are not answered.
+	Open() int
+	// Finished tells whether the connection is to be closed once its output is sent.
+	Finished() bool
+}
+
+// Protocol starts a session on a new connection.
+type Protocol func(out Output, h Handler) Session
--- /dev/null
+++ b/internal/interp/dial.go
@@ -0,0 +1,87 @@
+package interp
+
+import (
+	"net/netip"
+	"time"
+
+	"tillerusher/internal/loop"
+)
+
+// redial is how long a lost or failed connection is left before the next try.
+const redial = 50 * time.Millisecond
+
+// Dialer keeps a Link connected.
+type Dialer struct {
+	*Link
+	loop    *loop.Loop
+	to      netip.AddrPort
+	conn    *loop.Conn
+	retry   *loop.Timer
+	told    bool // the present trouble was reported
+	stopped bool
+}
+
+// Dial starts connecting and goes on until Close.
+func Dial(l *loop.Loop, to netip.AddrPort, h Handler) *Dialer {
+	d := &Dialer{Link: NewLink(h), loop: l, to: to}
+	d.dial()
+	d.tick()
+	return d
+}
+
+// dial tries one connection.
+func (d *Dialer) dial() {
+	if d.stopped {
+		return
+	}
+	conn, err := d.loop.Dial(d.to, d)
+	if err != nil {
+		d.Closed(nil, err)
+		return
+	}
+	d.conn = conn
+}
+
+// tick gives up old questions now and then.
+func (d *Dialer) tick() {
+	if d.stopped {
+		return
+	}
+	d.Tick(d.loop.Now())
+	d.retry = d.loop.After(Timeout/10, d.tick)
+}
+
+// Connected implements loop.ConnHandler.
+func (d *Dialer) Connected(c *loop.Conn) {
+	d.told = false
+	d.Link.Connected(c.Write, d.loop.Now())
+}
+
+// Data implements loop.ConnHandler.
+func (d *Dialer) Data(c *loop.Conn, p []byte) {
+	if err := d.Feed(p); err != nil {
+		c.Close()
+		d.Closed(c, err)
+	}
+}
+
+// Closed implements loop.ConnHandler.
+func (d *Dialer) Closed(_ *loop.Conn, err error) {
+	d.conn = nil
+	d.Lost()
+	if !d.told {
+		d.told = true
+		d.handler.Trouble("interpreter link lost", err)
+	}
+	d.loop.After(redial, d.dial)
+}
+
+// Close ends the link for good.
+func (d *Dialer) Close() {
+	d.stopped = true
+	d.loop.Cancel(d.retry)
+	if d.conn != nil {
+		d.conn.Close()
+	}
+	d.Lost()
+}
--- /dev/null
+++ b/internal/interp/link.go
@@ -0,0 +1,327 @@
+package interp
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// maxLine bounds a line from the interpreter: a result of 4 KiB in base64 with its fields is far under it.
+	maxLine = 64 << 10
+	// Timeout is how long an answer to TOP or SMOKE is waited for.
+	Timeout = 2 * time.Second
+)
+
+// Handler hears what the interpreter tells.
+type Handler interface {
+	// Up says that the interpreter runs: whether it was cold at its start, and how long ago that was. It is
+	// called once for each start of the interpreter.
+	Up(cold bool, age time.Duration)
+	// Ended says that a run is over. It is called once for each run.
+	Ended(id string, end End, result []byte)
+	// Trouble reports what should not happen, for the log.
+	Trouble(text string, err error)
+}
+
+// run is one run that was asked for and has not ended.
+type run struct {
+	id, class string
+	body      []byte
+	sent      bool // APPLY was written on some link
+	current   bool // APPLY was written on this link
+	breaking  bool // the run is to be stopped
+	broken    bool // BREAK was written on this link
+}
+
+// asked is a TOP or SMOKE without its answer.
+type asked struct {
+	tag    string
+	due    time.Time
+	gauges func(values []float64, ok bool)
+	smoke  func(ok bool)
+}
+
+// Counters count what went over the link.
+type Counters struct {
+	Links, Applied, Reapplied, Broken, Notices, Replayed, Unknown, Unanswered uint64
+}
+
+// Link is the state of the dialogue, over any number of connections. It owns no socket.
+//
+// Runs go on while no connection stands, so nothing can be said of a run then. After a connect the notices
+// that were missed come first; the answer to a TOP sent behind CONNECT tells that all of them were read. Only
+// then is what is still open asked for again: a run that is on its way is left alone by that, one that the
+// interpreter never heard of starts, and one that has ended is known to have ended.
+type Link struct {
+	handler Handler
+	send    func(p []byte) // nil while no connection stands
+	partial []byte
+	last    uint64 // number of the last notice read
+	synced  bool   // all missed notices were read
+	banner  bool
+	up      bool
+	runs    map[string]*run
+	order   []*run // in the order of asking; those over are dropped when the link is synced
+	asks    []asked
+	tags    uint64
+	Count   Counters
+}
+
+// NewLink returns a link without a connection.
+func NewLink(h Handler) *Link {
+	return &Link{handler: h, runs: map[string]*run{}}
+}
+
+// Connected starts the dialogue on a new connection.
+func (l *Link) Connected(send func(p []byte), now time.Time) {
+	l.Lost()
+	l.send = send
+	l.Count.Links++
+	last := l.last
+	l.write(command{Op: opConnect, Seq: &last})
+	l.sync(now)
+}
+
+// sync asks for a sign that the notices sent after BANNER were read.
+func (l *Link) sync(now time.Time) {
+	l.ask(opTop, now, asked{gauges: func(_ []float64, ok bool) {
+		if ok {
+			l.resume()
+		}
+	}})
+}
+
+// Lost says that the connection ended. What was asked on it stays unanswered.
+func (l *Link) Lost() {
+	l.send, l.partial, l.synced, l.banner = nil, nil, false, false
+	for _, r := range l.runs {
+		r.current, r.broken = false, false
+	}
+	l.expire(func(asked) bool { return true })
+}
+
+// Ready tells whether commands go out at once.
+func (l *Link) Ready() bool { return l.synced }
+
+// Runs is how many runs have not ended.
+func (l *Link) Runs() int { return len(l.runs) }
+
+// Apply asks for a run, now or once the link stands.
+func (l *Link) Apply(id, class string, body []byte) {
+	if body == nil {
+		body = []byte{} // an empty body is told as one
+	}
+	r := &run{id: id, class: class, body: body}
+	l.runs[id] = r
+	l.order = append(l.order, r)
+	l.push(r)
+}
+
+// Withdraw takes a run back that the interpreter never heard of, and tells whether it could.
+func (l *Link) Withdraw(id string) bool {
+	if r := l.runs[id]; r == nil || r.sent {
+		return false
+	}
+	delete(l.runs, id)
+	return true
+}
+
+// Break stops a run, whose end is told in time.
+func (l *Link) Break(id string) {
+	if r := l.runs[id]; r != nil {
+		r.breaking = true
+		l.push(r)
+	}
+}
+
+// push writes what a run still needs on this link.
+func (l *Link) push(r *run) {
+	if !l.synced {
+		return
+	}
+	if !r.current {
+		if r.sent {
+			l.Count.Reapplied++
+		} else {
+			l.Count.Applied++
+		}
+		r.sent, r.current = true, true
+		l.write(command{Op: opApply, ID: r.id, Class: r.class, Body: &r.body})
+	}
+	if r.breaking && !r.broken {
+		r.broken = true
+		l.Count.Broken++
+		l.write(command{Op: opBreak, ID: r.id})
+	}
+}
+
+// resume asks again for all that is open.
+func (l *Link) resume() {
+	l.synced = true
+	l.compact()
+	for _, r := range l.order {
+		l.push(r)
+	}
+}
+
+// compact drops the runs that ended from the order.
+func (l *Link) compact() {
+	l.order = slices.DeleteFunc(l.order, func(r *run) bool { return l.runs[r.id] != r })
+}
+
+// Top asks for the gauges.
+func (l *Link) Top(now time.Time, then func(values []float64, ok bool)) {
+	l.ask(opTop, now, asked{gauges: then})
+}
+
+// Smoke does the work of a deep health check.
+func (l *Link) Smoke(now time.Time, then func(ok bool)) {
+	l.ask(opSmoke, now, asked{smoke: then})
+}
+
+// ask sends a question, which is answered as failed where no link stands.
+func (l *Link) ask(op string, now time.Time, a asked) {
+	if l.send == nil {
+		a.answer(nil, false)
+		return
+	}
+	l.tags++
+	a.tag, a.due = strconv.FormatUint(l.tags, 10), now.Add(Timeout)
+	l.asks = append(l.asks, a)
+	l.write(command{Op: op, Tag: a.tag})
+}
+
+// answer calls whoever asked.
+func (a *asked) answer(values []float64, ok bool) {
+	if a.gauges != nil {
+		a.gauges(values, ok)
+	} else {
+		a.smoke(ok)
+	}
+}
+
+// expire answers as failed the questions that over names.
+func (l *Link) expire(over func(a asked) bool) {
+	asks := l.asks
+	l.asks = nil
+	for i := range asks {
+		if !over(asks[i]) {
+			l.asks = append(l.asks, asks[i])
+		}
+	}
+	for i := range asks {
+		if over(asks[i]) {
+			l.Count.Unanswered++
+			asks[i].answer(nil, false)
+		}
+	}
+}
+
+// Tick gives up questions that stayed unanswered; the sign that the link is in step is asked for again.
+func (l *Link) Tick(now time.Time) {
+	l.expire(func(a asked) bool { return !now.Before(a.due) })
+	if l.banner && !l.synced && len(l.asks) == 0 {
+		l.sync(now)
+	}
+}
+
+// write sends a command.
+func (l *Link) write(c command) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		l.handler.Trouble("interpreter command not written", err)
+		return
+	}
+	l.send(append(text, '\n'))
+}
+
+// Feed takes in the next bytes of the connection; after an error it can only be closed.
+func (l *Link) Feed(p []byte) error {
+	for {
+		line, rest, whole := bytes.Cut(p, []byte{'\n'})
+		if len(l.partial)+len(line) > maxLine {
+			return fmt.Errorf("interp: line of over %d bytes", maxLine)
+		}
+		if !whole {
+			l.partial = append(l.partial, line...)
+			return nil
+		}
+		if len(l.partial) > 0 {
+			line = append(l.partial, line...)
+			l.partial = nil
+		}
+		p = rest
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		var n notice
+		if err := json.Unmarshal(line, &n); err != nil {
+			return fmt.Errorf("interp: notice: %w", err)
+		}
+		l.notice(&n)
+		if l.send == nil {
+			return nil // what the notice led to ended the connection
+		}
+	}
+}
+
+// notice acts on one message. A numbered one that was read before is passed over.
+func (l *Link) notice(n *notice) {
+	if n.Seq > 0 {
+		if n.Seq <= l.last {
+			l.Count.Replayed++
+			return
+		}
+		l.last = n.Seq
+		l.Count.Notices++
+	}
+	switch n.Op {
+	case opBanner:
+		l.banner = true
+		if !l.up {
+			l.up = true
+			l.handler.Up(n.End == "COLD", n.age())
+		}
+	case opValue:
+		l.ended(n.ID, End(n.End), n.Body)
+	case opTops, opSmoked:
+		l.answered(n)
+	case opError:
+		l.handler.Trouble("interpreter turned a command away", fmt.Errorf("%s %s", n.End, n.ID))
+		if n.End == opApply {
+			l.ended(n.ID, EndError, nil)
+		}
+	case opTrace:
+	default:
+		l.Count.Unknown++
+	}
+}
+
+// ended reports the end of a run that is known.
+func (l *Link) ended(id string, end End, result []byte) {
+	if l.runs[id] == nil {
+		l.Count.Unknown++
+		return
+	}
+	delete(l.runs, id)
+	if len(l.order) > 2*len(l.runs)+16 {
+		l.compact()
+	}
+	l.handler.Ended(id, end, result)
+}
+
+// answered hands on the answer to a question; a late one is passed over.
+func (l *Link) answered(n *notice) {
+	i := slices.IndexFunc(l.asks, func(a asked) bool { return a.tag == n.Tag })
+	if i < 0 || (l.asks[i].gauges != nil) != (n.Op == opTops) {
+		l.Count.Unknown++
+		return
+	}
+	a := l.asks[i]
+	l.asks = slices.Delete(l.asks, i, i+1)
+	a.answer(n.Values, n.Op == opTops || n.End == string(EndOK))
+}
--- /dev/null
+++ b/internal/loop/conn.go
@@ -0,0 +1,224 @@
+package loop
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ConnHandler takes what happens on a connection.
+type ConnHandler interface {
+	// Connected says that a dialled connection stands.
+	Connected(c *Conn)
+	// Data hands over bytes, which are valid during the call only.
+	Data(c *Conn, p []byte)
+	// Closed says that the connection ended without Close; nothing follows it.
+	Closed(c *Conn, err error)
+}
+
+// Conn is one non-blocking stream connection.
+type Conn struct {
+	loop       *Loop
+	fd         int
+	handler    ConnHandler
+	events     uint32
+	connecting bool
+	closed     bool
+	dirty      bool
+	closing    bool // close once all is sent
+	from, to   int  // what this round read, in the loop's arena
+	err        error
+	out        []byte
+	active     time.Time
+}
+
+// Sockaddr turns an address into the form of the system calls.
+func Sockaddr(a netip.AddrPort) (family int, sa unix.Sockaddr) {
+	if ip := a.Addr().Unmap(); ip.Is4() {
+		return unix.AF_INET, &unix.SockaddrInet4{Port: int(a.Port()), Addr: ip.As4()}
+	}
+	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
+}
+
+// Dial starts a connection; its handler hears of the outcome in a later round.
+func (l *Loop) Dial(to netip.AddrPort, h ConnHandler) (*Conn, error) {
+	family, sa := Sockaddr(to)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("loop: dial %v: %w", to, err)
+	}
+	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
+		unix.Close(fd)
+		return nil, fmt.Errorf("loop: dial %v: %w", to, err)
+	}
+	c, err := l.newConn(fd, unix.EPOLLIN|unix.EPOLLOUT, h)
+	if err == nil {
+		c.connecting = true
+	}
+	return c, err
+}
+
+// newConn registers a connected or connecting socket, and closes it if that fails.
+func (l *Loop) newConn(fd int, events uint32, h ConnHandler) (*Conn, error) {
+	// Answers are small and written once a round: waiting to fill a segment would only delay them.
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("loop: connection: %w", err)
+	}
+	c := &Conn{loop: l, fd: fd, handler: h, events: events, active: l.now}
+	if err := l.add(fd, events, c); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return c, nil
+}
+
+// gather implements source.
+func (c *Conn) gather(events uint32) {
+	if c.connecting {
+		if events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) == 0 {
+			return
+		}
+		code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && code != 0 {
+			err = unix.Errno(code)
+		}
+		c.err = err
+		return
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+		c.read()
+	}
+	if events&unix.EPOLLOUT != 0 {
+		c.touch()
+	}
+}
+
+// read takes what is there into the loop's arena.
+func (c *Conn) read() {
+	l := c.loop
+	start := len(l.arena)
+	if cap(l.arena)-start < readSize {
+		l.arena = append(make([]byte, 0, 2*cap(l.arena)+2*readSize), l.arena...)
+	}
+	n, err := unix.Read(c.fd, l.arena[start:start+readSize])
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+	case err != nil:
+		c.err = err
+	case n == 0:
+		c.err = io.EOF
+	default:
+		l.arena = l.arena[:start+n]
+		c.from, c.to = start, start+n
+	}
+}
+
+// report implements source.
+func (c *Conn) report() {
+	from, to, err := c.from, c.to, c.err
+	c.from, c.to = 0, 0
+	switch {
+	case c.closed:
+		return
+	case c.connecting && err == nil:
+		c.connecting = false
+		c.rewatch()
+		c.handler.Connected(c)
+		return
+	case to > from:
+		c.active = c.loop.now
+		c.handler.Data(c, c.loop.arena[from:to])
+	}
+	if err != nil && !c.closed {
+		c.Close()
+		c.handler.Closed(c, err)
+	}
+}
+
+// Write queues bytes, which go out at the end of the round.
+func (c *Conn) Write(p []byte) {
+	if !c.closed {
+		c.out = append(c.out, p...)
+		c.touch()
+	}
+}
+
+// touch has the connection flushed at the end of the round.
+func (c *Conn) touch() {
+	if !c.dirty && !c.closed {
+		c.dirty = true
+		c.loop.dirty = append(c.loop.dirty, c)
+	}
+}
+
+// flush sends what is queued.
+func (c *Conn) flush() {
+	c.dirty = false
+	if c.closed || c.connecting {
+		return
+	}
+	if len(c.out) > 0 {
+		n, err := unix.Write(c.fd, c.out)
+		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+			// The owner has settled this round: it hears of the end in the next.
+			c.err = err
+			c.loop.failed = append(c.loop.failed, c)
+			return
+		}
+		if n > 0 {
+			c.active = c.loop.now
+			c.out = c.out[:copy(c.out, c.out[n:])]
+		}
+	}
+	if len(c.out) == 0 && c.closing {
+		c.Close()
+		return
+	}
+	c.rewatch()
+}
+
+// rewatch registers the connection for what it waits for: a peer that does not take its answers is not read.
+func (c *Conn) rewatch() {
+	var events uint32
+	if len(c.out) < highWater && !c.closing {
+		events |= unix.EPOLLIN
+	}
+	if len(c.out) > 0 {
+		events |= unix.EPOLLOUT
+	}
+	if events != c.events {
+		c.events = events
+		c.loop.watch(c.fd, events)
+	}
+}
+
+// Quiet tells whether nothing came or went for the time and nothing waits in the socket.
+func (c *Conn) Quiet(idle time.Duration) bool {
+	if c.closed || len(c.out) > 0 || c.loop.now.Sub(c.active) < idle {
+		return false
+	}
+	var one [1]byte
+	_, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK)
+	return err == unix.EAGAIN
+}
+
+// Unsent is how many bytes wait to be sent.
+func (c *Conn) Unsent() int { return len(c.out) }
+
+// CloseSent closes the connection once all that is queued is sent; it is not read any more.
+func (c *Conn) CloseSent() {
+	c.closing = true
+	c.touch()
+}
+
+// Close closes the connection now, without a word to its handler.
+func (c *Conn) Close() {
+	if !c.closed {
+		c.closed = true
+		c.loop.drop(c.fd)
+	}
+}
--- /dev/null
+++ b/internal/loop/listen.go
@@ -0,0 +1,180 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	backlog    = 512
+	acceptMost = 64 // connections accepted in one round
+	// acceptRest is how long a listener rests when no descriptor is left even for turning callers away.
+	acceptRest = 50 * time.Millisecond
+)
+
+// Accepted tells of new connections.
+type Accepted struct {
+	// Conn names the handler of a new connection, or nil to turn it away.
+	Conn func(c *Conn) ConnHandler
+	// Failed hears of connections that could not be accepted.
+	Failed func(err error)
+}
+
+// Listener accepts connections.
+type Listener struct {
+	loop    *Loop
+	fd      int
+	spare   int // given up to accept and close when descriptors run out, or -1
+	on      Accepted
+	fds     []int // accepted in this round
+	errs    []error
+	closed  bool
+	resting bool
+}
+
+// Listen accepts connections at the address.
+func (l *Loop) Listen(at netip.AddrPort, on Accepted) (*Listener, error) {
+	family, sa := Sockaddr(at)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %v: %w", at, err)
+	}
+	// A restart must not wait for the connections of the life before.
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, sa)
+	}
+	if err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen at %v: %w", at, err)
+	}
+	ln := &Listener{loop: l, fd: fd, on: on, spare: openSpare()}
+	if err := l.add(fd, unix.EPOLLIN, ln); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return ln, nil
+}
+
+// Addr is the address that is listened at.
+func (ln *Listener) Addr() (netip.AddrPort, error) {
+	sa, err := unix.Getsockname(ln.fd)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listener: %w", err)
+	}
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)), nil
+	}
+	return netip.AddrPort{}, errors.New("listener: no IP address")
+}
+
+// openSpare holds a descriptor back.
+func openSpare() int {
+	fd, err := unix.Eventfd(0, unix.EFD_CLOEXEC)
+	if err != nil {
+		return -1
+	}
+	return fd
+}
+
+// gather implements source.
+func (ln *Listener) gather(uint32) { ln.accept() }
+
+// accept takes connections until none waits.
+func (ln *Listener) accept() {
+	for range acceptMost {
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			ln.fds = append(ln.fds, fd)
+		case err == unix.EAGAIN:
+			return
+		case err == unix.EMFILE || err == unix.ENFILE:
+			// Left alone, the listener would stay ready and turn the loop into a spin.
+			ln.errs = append(ln.errs, err)
+			if !ln.shed() {
+				ln.rest()
+				return
+			}
+		case err == unix.EINTR || err == unix.ECONNABORTED:
+		default:
+			ln.errs = append(ln.errs, err)
+			return
+		}
+	}
+}
+
+// shed gives up the spare descriptor to accept one connection and close it, so that its caller hears at once.
+func (ln *Listener) shed() bool {
+	if ln.spare < 0 {
+		return false
+	}
+	unix.Close(ln.spare)
+	fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	if err == nil {
+		unix.Close(fd)
+	}
+	ln.spare = openSpare()
+	return ln.spare >= 0
+}
+
+// rest stops accepting for a moment.
+func (ln *Listener) rest() {
+	if ln.resting {
+		return
+	}
+	ln.resting = true
+	ln.loop.watch(ln.fd, 0)
+	ln.loop.After(acceptRest, func() {
+		ln.resting = false
+		if !ln.closed {
+			if ln.spare < 0 {
+				ln.spare = openSpare()
+			}
+			ln.loop.watch(ln.fd, unix.EPOLLIN)
+		}
+	})
+}
+
+// report implements source.
+func (ln *Listener) report() {
+	fds, errs := ln.fds, ln.errs
+	ln.fds, ln.errs = nil, nil
+	for _, err := range errs {
+		ln.on.Failed(err)
+	}
+	for _, fd := range fds {
+		c, err := ln.loop.newConn(fd, unix.EPOLLIN, nil)
+		if err != nil {
+			ln.on.Failed(err)
+			continue
+		}
+		if c.handler = ln.on.Conn(c); c.handler == nil {
+			c.Close()
+		}
+	}
+}
+
+// Close accepts what waits and then stops listening.
+func (ln *Listener) Close() {
+	if ln.closed {
+		return
+	}
+	ln.accept()
+	ln.closed = true
+	ln.loop.drop(ln.fd)
+	if ln.spare >= 0 {
+		unix.Close(ln.spare)
+	}
+	ln.report()
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,173 @@
+// Package loop runs one goroutine over epoll: sockets, coarse timers and work handed over from elsewhere. A
+// round gathers all that is ready, reads the clock once, reports what came in order, lets the owner settle,
+// and then sends what each connection has to send in one write.
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	maxEvents = 256       // ready descriptors of one round
+	readSize  = 32 << 10  // bytes read from one connection in a round
+	highWater = 256 << 10 // unsent bytes over which a connection is not read
+)
+
+// source is what stands behind a registered descriptor.
+type source interface {
+	gather(events uint32) // take in what is ready
+	report()              // hand it on
+}
+
+// Loop owns all that is registered with it. Its methods belong to the goroutine in Run, but for Post.
+type Loop struct {
+	epoll, wake int
+	sources     map[int]source
+	ready       []source
+	arena       []byte // what this round read
+	dirty       []*Conn
+	failed      []source // connections that could not be written to, to be reported next
+	now         time.Time
+	wheel       *Wheel
+	stopped     bool
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New returns a loop whose timers fire on the tick.
+func New(tick time.Duration) (*Loop, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("loop: epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		unix.Close(epoll)
+		return nil, fmt.Errorf("loop: eventfd: %w", err)
+	}
+	now := time.Now()
+	l := &Loop{epoll: epoll, wake: wake, sources: map[int]source{}, now: now, wheel: newWheel(tick, now)}
+	if err := l.add(wake, unix.EPOLLIN, wakeup{l}); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Close gives up the loop's own descriptors, after Run.
+func (l *Loop) Close() {
+	unix.Close(l.epoll)
+	unix.Close(l.wake)
+}
+
+// Now is the clock reading of this round.
+func (l *Loop) Now() time.Time { return l.now }
+
+// After fires once the wait is over.
+func (l *Loop) After(wait time.Duration, fire func()) *Timer {
+	return l.wheel.set(l.now, wait, fire)
+}
+
+// Cancel disarms a timer; nil and one that fired are left alone.
+func (l *Loop) Cancel(t *Timer) { l.wheel.cancel(t) }
+
+// Stop ends Run after this round.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Post has the loop call fn in its next round; any goroutine may call it.
+func (l *Loop) Post(fn func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, fn)
+	l.mu.Unlock()
+	unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0}) // fails only when a wakeup is pending already
+}
+
+// Run goes on until Stop. After the events of a round it calls settle, which tells whether it left events of
+// its own for a next round at once.
+func (l *Loop) Run(settle func() (again bool)) error {
+	events := make([]unix.EpollEvent, maxEvents)
+	again := false
+	for !l.stopped {
+		wait := 0
+		if !again && len(l.failed) == 0 {
+			wait = int((l.wheel.wait(time.Now()) + time.Millisecond - 1) / time.Millisecond)
+		}
+		n, err := unix.EpollWait(l.epoll, events, wait)
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("loop: epoll wait: %w", err)
+		}
+		l.ready, l.arena = append(l.ready[:0], l.failed...), l.arena[:0]
+		l.failed = l.failed[:0]
+		for _, e := range events[:max(n, 0)] {
+			if s := l.sources[int(e.Fd)]; s != nil {
+				s.gather(e.Events)
+				l.ready = append(l.ready, s)
+			}
+		}
+		l.now = time.Now()
+		for _, s := range l.ready {
+			s.report()
+		}
+		l.wheel.advance(l.now)
+		again = settle()
+		l.flush()
+	}
+	return nil
+}
+
+// flush sends what the round wrote, one write a connection.
+func (l *Loop) flush() {
+	for i := 0; i < len(l.dirty); i++ {
+		l.dirty[i].flush()
+	}
+	l.dirty = l.dirty[:0]
+}
+
+// add registers a descriptor.
+func (l *Loop) add(fd int, events uint32, s source) error {
+	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+		return fmt.Errorf("loop: register: %w", err)
+	}
+	l.sources[fd] = s
+	return nil
+}
+
+// watch changes what a descriptor is registered for.
+func (l *Loop) watch(fd int, events uint32) {
+	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
+	// It fails only for a descriptor that is not registered, which would be an error of this package.
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &e); err != nil {
+		panic(fmt.Sprintf("loop: watch: %v", err))
+	}
+}
+
+// drop closes a registered descriptor.
+func (l *Loop) drop(fd int) {
+	delete(l.sources, fd)
+	unix.Close(fd)
+}
+
+// wakeup stands behind the descriptor that Post writes to.
+type wakeup struct{ l *Loop }
+
+func (w wakeup) gather(uint32) {
+	var count [8]byte
+	unix.Read(w.l.wake, count[:])
+}
+
+func (w wakeup) report() {
+	w.l.mu.Lock()
+	posted := w.l.posted
+	w.l.posted = nil
+	w.l.mu.Unlock()
+	for _, fn := range posted {
+		fn()
+	}
+}
--- /dev/null
+++ b/server/actions.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tillerusher"
+	"tillerusher/internal/front"
+)
+
+// The statuses of answers.
+const (
+	statusServed  = 200
+	statusInvalid = 400
+	statusFailed  = 500
+	statusRefused = 503
+)
+
+// actions carries out what the module decides.
+type actions struct{ *Server }
+
+// Run implements tillerusher.Actions.
+func (a actions) Run(id tillerusher.RequestID) {
+	t := a.tries[id]
+	if t == nil || t.answered || t.state == running {
+		return
+	}
+	if t.keyed && t.once && !a.keys.claim(t, a.told.Module.Classes[t.class].Window+windowSlack) {
+		// A second run would break the rule on single effect, whatever led to it.
+		a.count.ranTwice++
+		a.log.Error("second run prevented", zap.String("request", t.wire))
+		a.answer(t, front.Answer{Status: statusFailed})
+		a.after(func() { a.module.Done(a.event(), id, tillerusher.Errored) })
+		return
+	}
+	a.count.runs++
+	t.state = running
+	a.link.Apply(t.wire, a.told.Classes[t.class], t.body)
+}
+
+// Refuse implements tillerusher.Actions.
+func (a actions) Refuse(id tillerusher.RequestID, stayAway time.Duration, last bool) {
+	t := a.tries[id]
+	if t == nil || t.answered {
+		return
+	}
+	if t.once && t.state != unrun {
+		// A refusal says that nothing ran.
+		a.count.refusedRan++
+		a.log.Error("refusal after a run prevented", zap.String("request", t.wire))
+		a.Fail(id)
+		return
+	}
+	r := front.Answer{Status: statusRefused}
+	if stayAway > 0 {
+		ms := (stayAway + time.Millisecond - 1) / time.Millisecond
+		r.Fields = append(r.Fields, front.Field{Name: "Back-Off-Ms", Value: strconv.FormatInt(int64(ms), 10)})
+	}
+	if last {
+		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
+	}
+	a.answer(t, r)
+	a.withdraw(t)
+}
+
+// Fail implements tillerusher.Actions.
+func (a actions) Fail(id tillerusher.RequestID) {
+	if t := a.tries[id]; t != nil && !t.answered {
+		a.answer(t, front.Answer{Status: statusFailed})
+		a.withdraw(t)
+	}
+}
+
+// withdraw forgets an answered try; a run that the interpreter never heard of is taken back.
+func (a actions) withdraw(t *try) {
+	if t.state == running && a.link.Withdraw(t.wire) {
+		t.state = broken
+		a.after(func() { a.over(t, tillerusher.Cancelled) })
+	}
+	a.drop(t)
+}
+
+// Halt implements tillerusher.Actions.
+func (a actions) Halt(id tillerusher.RequestID) {
+	if t := a.tries[id]; t != nil && t.state == running {
+		a.link.Break(t.wire)
+	}
+}
+
+// Keep implements tillerusher.Actions.
+func (a actions) Keep(id tillerusher.RequestID, lifetime time.Duration) {
+	if t := a.tries[id]; t != nil && t.keyed {
+		a.keys.keep(t, a.clock.now+lifetime)
+	}
+}
+
+// Forget implements tillerusher.Actions.
+func (a actions) Forget(id tillerusher.RequestID) {
+	if t := a.tries[id]; t != nil && t.keyed {
+		a.keys.forget(t)
+	}
+}
+
+// Reuse implements tillerusher.Actions.
+func (a actions) Reuse(id tillerusher.RequestID) {
+	t := a.tries[id]
+	if t == nil || t.answered {
+		return
+	}
+	source := a.keys.source(t)
+	if source != nil && (source.state == running || source.state == unrun && !source.answered) {
+		source.waiters = append(source.waiters, t)
+		return
+	}
+	a.after(func() { a.echo(t, source) })
+}
+
+// Say implements tillerusher.Actions.
+func (a actions) Say(value float64) { a.hint = strconv.FormatFloat(value, 'f', 4, 64) }
+
+// Health implements tillerusher.Actions.
+func (a actions) Health(good, fromStore bool) { a.healthy, a.fromStore = good, fromStore }
+
+// CloseIdle implements tillerusher.Actions.
+func (a actions) CloseIdle(idle time.Duration) { a.idle = idle }
+
+// After implements tillerusher.Actions.
+func (a actions) After(wait time.Duration, token uint32) {
+	a.loop.After(wait, func() {
+		gauges := tillerusher.Gauges{Busy: -1}
+		if a.loop.Now().Sub(a.gaugesAt) < gaugeStale {
+			gauges = a.gauges
+		}
+		a.module.Timer(a.event(), token, gauges)
+	})
+}
+
+// Log implements tillerusher.Actions.
+func (a actions) Log(line string) { a.log.Info("decision", zap.String("text", line)) }
+
+// Call implements tillerusher.Actions; New turns settings away under which requests make calls.
+func (a actions) Call(id tillerusher.RequestID, _ time.Duration) { a.noCalls(id) }
+
+// Skip implements tillerusher.Actions, as Call.
+func (a actions) Skip(id tillerusher.RequestID) { a.noCalls(id) }
+
+// noCalls reports a decision that nothing can have led to.
+func (a actions) noCalls(id tillerusher.RequestID) {
+	a.log.Error("call without a dependency", zap.Uint32("id", uint32(id)))
+}
--- /dev/null
+++ b/server/gateway.go
@@ -0,0 +1,154 @@
+package server
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"tillerusher/internal/front"
+	"tillerusher/internal/loop"
+)
+
+// gateway is one connection of a gateway.
+type gateway struct {
+	server  *Server
+	conn    *loop.Conn
+	session front.Session
+	tries   map[front.Stream]*try
+	smokes  map[front.Stream]bool // deep health checks under way
+	used    bool                  // it has carried something
+}
+
+// accept takes in a new connection, while descriptors are left for everything else.
+func (s *Server) accept(c *loop.Conn) loop.ConnHandler {
+	if len(s.gateways) >= s.cfg.Limits.Sockets-spareSockets {
+		s.count.turnedAway++
+		return nil
+	}
+	s.count.accepted++
+	g := &gateway{server: s, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}}
+	g.session = s.protocol(c, g)
+	s.gateways[g] = true
+	return g
+}
+
+// acceptFailed hears of a connection that could not be accepted.
+func (s *Server) acceptFailed(err error) {
+	s.count.acceptErrors++
+	s.log.Warn("accept failed", zap.Error(err))
+}
+
+// Connected implements loop.ConnHandler; gateways dial, not the server.
+func (g *gateway) Connected(*loop.Conn) {}
+
+// Data implements loop.ConnHandler.
+func (g *gateway) Data(_ *loop.Conn, p []byte) {
+	g.used = true
+	if err := g.session.Feed(p); err != nil {
+		g.server.count.broken++
+		g.server.log.Debug("gateway stream broken", zap.Error(err))
+		g.conn.Close()
+		g.end()
+		return
+	}
+	g.closeFinished()
+}
+
+// closeFinished closes a connection that the gateway did not want kept, once its answer is sent.
+func (g *gateway) closeFinished() {
+	if g.session.Finished() {
+		delete(g.server.gateways, g)
+		g.conn.CloseSent()
+	}
+}
+
+// Closed implements loop.ConnHandler.
+func (g *gateway) Closed(*loop.Conn, error) { g.end() }
+
+// end forgets a connection that is gone: nobody waits for its requests any more.
+func (g *gateway) end() {
+	s := g.server
+	delete(s.gateways, g)
+	for _, t := range sorted(g.tries) {
+		s.count.lost++
+		t.answered = true
+		now := s.event()
+		s.module.Gone(now, t.id)
+		s.drop(t)
+	}
+	clear(g.tries)
+	clear(g.smokes)
+}
+
+// Request implements front.Handler.
+func (g *gateway) Request(_ front.Session, id front.Stream, r front.Request) {
+	g.server.request(g, id, r)
+}
+
+// Aborted implements front.Handler: the gateway wants no answer, but the protocol owes it an end.
+func (g *gateway) Aborted(_ front.Session, id front.Stream) {
+	s := g.server
+	s.count.aborted++
+	if g.smokes[id] {
+		delete(g.smokes, id)
+		g.answer(id, front.Answer{Status: statusFailed})
+		return
+	}
+	t := g.tries[id]
+	if t == nil {
+		return
+	}
+	s.answer(t, front.Answer{Status: statusFailed})
+	s.module.Gone(s.event(), t.id)
+	s.drop(t)
+}
+
+// Flawed implements front.Handler.
+func (g *gateway) Flawed(f front.Flaw) {
+	c := &g.server.count
+	switch f {
+	case front.TooLarge:
+		c.tooLarge++
+	case front.TooMany:
+		c.tooMany++
+	case front.BadRole:
+		c.badRole++
+	default:
+		c.malformed++
+	}
+}
+
+// answer sends an answer with the value that callers read.
+func (g *gateway) answer(id front.Stream, a front.Answer) {
+	if hint := g.server.hint; hint != "" && !a.Overloaded {
+		a.Fields = append(a.Fields, front.Field{Name: "Server-Hint", Value: hint})
+	}
+	g.session.Answer(id, a)
+	g.closeFinished()
+}
+
+// The pace at which idle connections are looked for, and the least time that a connection gets to carry its
+// first request: one that is closed right after the accept would only be made again.
+const (
+	idleScanLeast = 10 * time.Millisecond
+	idleScanMost  = time.Second
+	unusedLeast   = 250 * time.Millisecond
+)
+
+// closeIdle closes connections that carried nothing for the time the module set, and looks again later.
+func (s *Server) closeIdle() {
+	if s.idle > 0 {
+		for g := range s.gateways {
+			idle := s.idle
+			if !g.used {
+				idle = max(idle, unusedLeast)
+			}
+			if g.session.Open() == 0 && g.conn.Quiet(idle) {
+				s.count.idleClosed++
+				delete(s.gateways, g)
+				g.conn.Close()
+			}
+		}
+	}
+	s.loop.After(min(max(s.idle/4, idleScanLeast), idleScanMost), s.closeIdle)
+}
--- /dev/null
+++ b/server/health.go
@@ -0,0 +1,75 @@
+package server
+
+import (
+	"net/url"
+	"time"
+
+	"tillerusher/internal/front"
+)
+
+// healthPath is where health checks arrive.
+const healthPath = "/healthz"
+
+// check answers a health check: from the module's setting, or, where the gateway asks whether work gets done
+// and the setting alone may not answer, by the outcome of a deep check.
+func (s *Server) check(g *gateway, id front.Stream, r front.Request) {
+	s.count.checks++
+	query, _ := url.ParseQuery(r.Query) // what is not understood asks for nothing
+	if query.Get("full") != "1" || s.fromStore || !s.healthy {
+		s.checked(g, id, s.healthy)
+		return
+	}
+	g.smokes[id] = true
+	s.link.Smoke(s.loop.Now(), func(ok bool) {
+		if g.smokes[id] {
+			delete(g.smokes, id)
+			s.checked(g, id, ok && s.healthy)
+		}
+	})
+}
+
+// checked sends the outcome of a health check.
+func (s *Server) checked(g *gateway, id front.Stream, good bool) {
+	status := statusServed
+	if !good {
+		s.count.checksBad++
+		status = statusRefused
+	}
+	g.answer(id, front.Answer{Status: status})
+}
+
+// gaugePace is the time between two readings of the gauges, and gaugeStale how long one is good for.
+const (
+	gaugePace  = 50 * time.Millisecond
+	gaugeStale = 5 * gaugePace
+)
+
+// readGauges asks the interpreter for its gauges, and goes on doing so.
+func (s *Server) readGauges() {
+	s.link.Top(s.loop.Now(), func(values []float64, ok bool) {
+		if ok {
+			s.gauges, s.gaugesAt = s.told.Read(values), s.loop.Now()
+		}
+	})
+	s.loop.After(gaugePace, s.readGauges)
+}
+
+// announcePace keeps reports well inside the 3 s after which a silent server leaves the list.
+const announcePace = time.Second
+
+// announce reports that this server takes requests, until it drains.
+func (s *Server) announce() {
+	if s.draining {
+		return
+	}
+	s.tell(true)
+	s.loop.After(announcePace, s.announce)
+}
+
+// tell sends one report.
+func (s *Server) tell(accepting bool) {
+	s.count.reports++
+	if err := s.reporter.Report(accepting); err != nil {
+		s.count.reportErrors++ // the next report is due soon
+	}
+}
--- /dev/null
+++ b/server/keys.go
@@ -0,0 +1,148 @@
+package server
+
+import "time"
+
+// keyID names an entry: tries of one request agree in both.
+type keyID struct {
+	class int
+	key   string
+}
+
+// entry is what is remembered under a key.
+type entry struct {
+	holder   *try          // the try that the module keeps, or nil
+	until    time.Duration // the module keeps it for arrivals until then
+	ran      *try          // the try that was run, or nil
+	ranUntil time.Duration // arrivals until then must not be run again
+}
+
+// stored is a result that is kept for repeats, in the order of keeping.
+type stored struct {
+	t    *try
+	size int
+}
+
+// keyTable remembers tries by key and class, and the results of those that were run. Entries are as many as
+// the module keeps; the memory of results has a limit of its own, past which the oldest are given up: their
+// repeats then fail, which is no second run.
+type keyTable struct {
+	entries map[keyID]*entry
+	results []stored
+	bytes   int // of the results kept
+	limit   int
+	dropped uint64
+}
+
+// newKeyTable returns an empty table that keeps results of so many bytes.
+func newKeyTable(limit int) keyTable {
+	return keyTable{entries: map[keyID]*entry{}, limit: limit}
+}
+
+// find returns the try that a new arrival repeats, or nil: the one kept, or, where the module's entry ran out
+// since the arrival, the one that was run.
+func (k *keyTable) find(id keyID, arrived time.Duration) *try {
+	e := k.entries[id]
+	switch {
+	case e == nil:
+		return nil
+	case e.holder != nil && arrived <= e.until:
+		return e.holder
+	case e.ran != nil && arrived <= e.ranUntil:
+		return e.ran
+	}
+	return nil
+}
+
+// entry returns the entry of a key, made anew where there is none.
+func (k *keyTable) entry(id keyID) *entry {
+	e := k.entries[id]
+	if e == nil {
+		e = &entry{}
+		k.entries[id] = e
+	}
+	return e
+}
+
+// keep makes the try the holder of its key.
+func (k *keyTable) keep(t *try, until time.Duration) {
+	e := k.entry(t.key)
+	e.holder, e.until = t, until
+}
+
+// forget takes the key from its holder; what was run stays known.
+func (k *keyTable) forget(t *try) {
+	e := k.entries[t.key]
+	if e == nil || e.holder != t {
+		return
+	}
+	e.holder = nil
+	if e.ran == nil {
+		delete(k.entries, t.key)
+	}
+}
+
+// claim notes that the try is run now. It returns false where another try of the request ran within its
+// window: the rule on single effect stands above any decision.
+func (k *keyTable) claim(t *try, window time.Duration) bool {
+	e := k.entry(t.key)
+	if e.ran != nil && e.ran != t && t.arrived <= e.ranUntil {
+		return false
+	}
+	e.ran, e.ranUntil = t, t.arrived+window
+	return true
+}
+
+// source is the try whose run answers a repeat.
+func (k *keyTable) source(t *try) *try {
+	if e := k.entries[t.key]; e != nil && e.ran != nil {
+		return e.ran
+	}
+	return t.repeats
+}
+
+// store keeps the result of a try that was run and gives up the oldest results over the limit.
+func (k *keyTable) store(t *try, result []byte) {
+	if e := k.entries[t.key]; e == nil || e.ran != t && e.holder != t {
+		return
+	}
+	t.result, t.stored = result, true
+	k.results = append(k.results, stored{t, len(result)})
+	k.bytes += len(result)
+	for k.bytes > k.limit && len(k.results) > 0 {
+		k.release(k.results[0])
+		k.results = k.results[1:]
+		k.dropped++
+	}
+}
+
+// release frees a stored result.
+func (k *keyTable) release(r stored) {
+	r.t.result, r.t.stored = nil, false
+	k.bytes -= r.size
+}
+
+// sweep forgets entries that no arrival can find any more. A request may lie unread for a while, so entries
+// outlast their time by the slack.
+func (k *keyTable) sweep(now, slack time.Duration) {
+	for id, e := range k.entries {
+		if e.holder != nil && now > e.until+slack {
+			e.holder = nil
+		}
+		if e.ran != nil && now > e.ranUntil+slack {
+			e.ran.expired, e.ran = true, nil
+		}
+		if e.holder == nil && e.ran == nil {
+			delete(k.entries, id)
+		}
+	}
+	kept := k.results[:0]
+	for _, r := range k.results {
+		if r.t.expired {
+			k.release(r)
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	clear(k.results[len(kept):])
+	k.results = kept
+}
--- /dev/null
+++ b/server/log.go
@@ -0,0 +1,59 @@
+package server
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// logQueue is how many lines may wait to be written.
+const logQueue = 1024
+
+// asyncWriter hands lines to a goroutine of its own, so that a reader of the log that stands still never
+// blocks the loop. Lines that find no room are dropped and counted.
+type asyncWriter struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+}
+
+// Write implements io.Writer.
+func (w *asyncWriter) Write(p []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), p...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// drain writes lines until there are no more.
+func (w *asyncWriter) drain(to io.Writer) {
+	defer close(w.done)
+	for line := range w.lines {
+		to.Write(line) // a log that can't be written has nowhere to be reported
+	}
+}
+
+// NewLogger returns a logger that never blocks, and a function that writes out what waits and ends it.
+func NewLogger(to io.Writer) (*zap.Logger, func()) {
+	w := &asyncWriter{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	go w.drain(to)
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder.EncodeDuration = zapcore.MillisDurationEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.AddSync(w), zap.InfoLevel))
+	return log, func() {
+		if n := w.dropped.Load(); n > 0 {
+			log.Warn("log lines dropped", zap.Uint64("lines", n))
+		}
+		close(w.lines)
+		select {
+		case <-w.done:
+		case <-time.After(100 * time.Millisecond): // nobody reads the log
+		}
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,354 @@
+// Package server is a real catalogue server round the decision module: it takes requests from gateways, has
+// the interpreter run them, and answers as the module decides.
+//
+// One goroutine owns all of it. In each round it gathers what is ready, reports it to the module in order,
+// lets the module settle once, and sends what came of that.
+package server
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tillerusher"
+	"tillerusher/internal/announce"
+	"tillerusher/internal/config"
+	"tillerusher/internal/fastcgi"
+	"tillerusher/internal/front"
+	"tillerusher/internal/interp"
+	"tillerusher/internal/loop"
+	"tillerusher/internal/settings"
+)
+
+const (
+	classPath = "/v1/" // the class follows
+	// spareSockets are kept from gateways: the loop's own, the interpreter's, logs and what the runtime holds.
+	spareSockets = 24
+	// windowSlack is added to the window in which a request must not run again: time limits on sockets are
+	// 50 ms longer, and as much again covers the clock's millisecond steps.
+	windowSlack = 100 * time.Millisecond
+	// resultPart is the part of the memory that kept results may take.
+	resultPart = 8
+	// keySweep is the time between two looks for entries that ran out.
+	keySweep = time.Second
+	// The limits of the gateways' protocol; the parameters of a request are far smaller than theirs.
+	maxOpen, maxParams, maxBody = 32, 16 << 10, 2 << 10
+)
+
+// Config is what a server is told at its start.
+type Config = config.Config
+
+// LoadConfig reads the configuration that the environment names.
+func LoadConfig(getenv func(string) string) (*Config, error) { return config.Load(getenv) }
+
+// Server is one catalogue server. Its fields belong to the goroutine in Run.
+type Server struct {
+	cfg      *config.Config
+	told     *settings.Told
+	log      *zap.Logger
+	protocol front.Protocol
+	loop     *loop.Loop
+	listener *loop.Listener
+	link     *interp.Dialer
+	reporter *announce.Reporter
+
+	clock   clock
+	module  *tillerusher.Instance // nil until the interpreter is up
+	touched bool                  // the module heard of something in this round
+	later   []func()              // events that actions led to
+	lastID  tillerusher.RequestID
+
+	classes, tenants map[string]int
+	gateways         map[*gateway]bool
+	tries            map[tillerusher.RequestID]*try // owed an answer, or running
+	byWire           map[string]*try                // the same, by Request-Id
+	keys             keyTable
+	patience         time.Duration // longest deadline of a class
+
+	hint               string
+	healthy, fromStore bool
+	idle               time.Duration
+	gauges             tillerusher.Gauges
+	gaugesAt           time.Time
+	draining           bool
+	count              counters
+}
+
+// New returns a server that listens at its address. Run has to be called next, or Close.
+func New(cfg *Config, log *zap.Logger) (*Server, error) {
+	told := cfg.Settings
+	if told.Module.Below != tillerusher.DependencyNone {
+		return nil, errors.New("config: settings.family-info.below: only none is served")
+	}
+	// What the module can't work with is found now, not when the interpreter comes up.
+	if _, err := tillerusher.New(told.Module, nil); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	l, err := loop.New(min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond))
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, told: told, log: log, loop: l, clock: newClock(l.Now()),
+		protocol: fastcgi.New(fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: maxBody}),
+		classes:  index(told.Classes), tenants: index(told.Tenants),
+		gateways: map[*gateway]bool{}, tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
+		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart)}
+	for _, c := range told.Module.Classes {
+		s.patience = max(s.patience, c.Deadline)
+	}
+	if s.reporter, err = announce.New(cfg.Announce, cfg.Name); err != nil {
+		l.Close()
+		return nil, err
+	}
+	if s.listener, err = l.Listen(cfg.Listen, loop.Accepted{Conn: s.accept, Failed: s.acceptFailed}); err != nil {
+		s.reporter.Close()
+		l.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// index numbers names.
+func index(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, name := range names {
+		m[name] = i
+	}
+	return m
+}
+
+// Run serves until it was drained after Drain.
+func (s *Server) Run() error {
+	defer s.Close()
+	s.link = interp.Dial(s.loop, s.cfg.Interpreter, s)
+	s.loop.After(keySweep, s.sweepKeys)
+	s.closeIdle()
+	s.log.Info("listening", zap.String("name", s.cfg.Name), zap.Stringer("address", s.cfg.Listen))
+	err := s.loop.Run(s.settle)
+	s.report("exit")
+	return err
+}
+
+// Close gives up what a server holds.
+func (s *Server) Close() {
+	s.listener.Close()
+	if s.link != nil {
+		s.link.Close()
+	}
+	s.reporter.Close()
+	s.loop.Close()
+}
+
+// Drain has the server leave; any goroutine may call it.
+func (s *Server) Drain() { s.loop.Post(s.drain) }
+
+// Report logs the counters; any goroutine may call it.
+func (s *Server) Report() { s.loop.Post(func() { s.report("asked") }) }
+
+// event notes that the module hears of something in this round, and returns the time of it.
+func (s *Server) event() time.Duration {
+	s.touched = true
+	return s.clock.read(s.loop.Now())
+}
+
+// after reports an event that an action led to once the module has returned.
+func (s *Server) after(event func()) { s.later = append(s.later, event) }
+
+// settle ends a round.
+func (s *Server) settle() (again bool) {
+	s.deferred()
+	if s.touched && s.module != nil {
+		s.touched = false
+		s.module.Settle(s.clock.read(s.loop.Now()))
+	}
+	return len(s.later) > 0
+}
+
+// deferred reports the events that actions led to.
+func (s *Server) deferred() {
+	for len(s.later) > 0 {
+		events := s.later
+		s.later = nil
+		for _, event := range events {
+			event()
+		}
+	}
+}
+
+// Up implements interp.Handler: the module starts with the work it decides on, since the interpreter may come
+// up long after this process and is cold from then on.
+func (s *Server) Up(cold bool, age time.Duration) {
+	set := s.told.Module
+	set.Cold = cold
+	s.log.Info("interpreter up", zap.Bool("cold", cold), zap.Duration("age", age))
+	module, err := tillerusher.New(set, actions{s})
+	if err != nil {
+		s.log.Error("decision module", zap.Error(err)) // New has tried the same settings
+		return
+	}
+	s.module = module
+	s.event()
+	s.readGauges()
+	s.announce()
+}
+
+// Trouble implements interp.Handler.
+func (s *Server) Trouble(text string, err error) { s.log.Warn(text, zap.Error(err)) }
+
+// request takes in a whole request.
+func (s *Server) request(g *gateway, id front.Stream, r front.Request) {
+	if r.Path == healthPath {
+		s.check(g, id, r)
+		return
+	}
+	s.count.requests++
+	now := s.event()
+	t, q, err := s.read(r, now)
+	switch {
+	case err == nil && s.byWire[t.wire] != nil:
+		err = errors.New("field Request-Id is that of an open request")
+	case err == nil && s.module == nil:
+		s.count.refused++
+		g.answer(id, front.Answer{Status: statusRefused}) // nothing can run yet
+		return
+	}
+	if err != nil {
+		s.count.invalid++
+		s.log.Debug("request not understood", zap.Error(err))
+		g.answer(id, front.Answer{Status: statusInvalid})
+		return
+	}
+	s.lastID++
+	t.id, q.ID, t.from, t.stream = s.lastID, s.lastID, g, id
+	if q.Retry {
+		s.count.retries++
+	}
+	if t.keyed {
+		if t.repeats = s.keys.find(t.key, t.arrived); t.repeats != nil {
+			s.count.repeats++
+			q.Repeats = t.repeats.id
+		}
+	}
+	s.tries[t.id], s.byWire[t.wire], g.tries[id] = t, t, t
+	s.module.Request(now, q)
+}
+
+// answer gives a try its final answer.
+func (s *Server) answer(t *try, a front.Answer) {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	delete(t.from.tries, t.stream)
+	switch a.Status {
+	case statusServed:
+		s.count.served++
+	case statusRefused:
+		s.count.refused++
+	default:
+		s.count.failed++
+	}
+	t.from.answer(t.stream, a)
+}
+
+// drop forgets a try that is answered and does not run.
+func (s *Server) drop(t *try) {
+	if t.answered && t.state != running {
+		delete(s.tries, t.id)
+		delete(s.byWire, t.wire)
+		t.body = nil
+	}
+}
+
+// Ended implements interp.Handler.
+func (s *Server) Ended(wire string, end interp.End, result []byte) {
+	t := s.byWire[wire]
+	if t == nil || t.state != running {
+		return
+	}
+	s.count.ended++
+	switch end {
+	case interp.EndOK:
+		t.state = done
+		if t.keyed {
+			s.keys.store(t, result)
+		}
+		s.answer(t, front.Answer{Status: statusServed, Body: result})
+		s.finish(t, tillerusher.OK, result)
+	case interp.EndStopped:
+		s.count.stopped++
+		s.over(t, tillerusher.Cancelled)
+	case interp.EndMoot:
+		s.count.moot++
+		s.over(t, tillerusher.Moot)
+	default:
+		s.count.errored++
+		s.over(t, tillerusher.Errored)
+	}
+}
+
+// over ends a run that made no result. The answer that may still be owed is a failure: whether anything was
+// done is not known.
+func (s *Server) over(t *try, o tillerusher.Outcome) {
+	t.state = broken
+	s.answer(t, front.Answer{Status: statusFailed})
+	s.finish(t, o, nil)
+}
+
+// finish tells the module how a run ended, and then those that waited for it.
+func (s *Server) finish(t *try, o tillerusher.Outcome, result []byte) {
+	s.module.Done(s.event(), t.id, o)
+	waiters := t.waiters
+	t.waiters = nil
+	for _, w := range waiters {
+		s.echoed(w, t.state == done, result)
+	}
+	s.drop(t)
+}
+
+// echo answers a repeat from the kept result of the try that was run.
+func (s *Server) echo(t, source *try) {
+	if source == nil || !source.stored {
+		s.echoed(t, false, nil)
+		return
+	}
+	s.echoed(t, true, source.result)
+}
+
+// echoed gives a repeat its outcome.
+func (s *Server) echoed(t *try, ok bool, result []byte) {
+	if t.answered {
+		return
+	}
+	outcome := tillerusher.Errored
+	if ok {
+		outcome = tillerusher.OK
+		s.count.reused++
+		s.answer(t, front.Answer{Status: statusServed, Body: result})
+	} else {
+		s.answer(t, front.Answer{Status: statusFailed})
+	}
+	s.module.Done(s.event(), t.id, outcome)
+	s.drop(t)
+}
+
+// sweepKeys forgets entries that ran out.
+func (s *Server) sweepKeys() {
+	s.keys.sweep(s.clock.read(s.loop.Now()), s.patience)
+	s.count.resultsDropped = s.keys.dropped
+	s.loop.After(keySweep, s.sweepKeys)
+}
+
+// sorted returns tries in the order of reading.
+func sorted(tries map[front.Stream]*try) []*try {
+	list := make([]*try, 0, len(tries))
+	for _, t := range tries {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *try) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
--- /dev/null
+++ b/server/try.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"tillerusher"
+	"tillerusher/internal/front"
+)
+
+// progress is how far the run of a try has come.
+type progress uint8
+
+const (
+	unrun   progress = iota // never begun
+	running                 // begun, and not over
+	done                    // over with a result
+	broken                  // over without one
+)
+
+// try is one request of a gateway, from its reading to the end of its answer and its run.
+type try struct {
+	id       tillerusher.RequestID
+	wire     string // Request-Id, by which the interpreter knows it
+	from     *gateway
+	stream   front.Stream
+	class    int
+	keyed    bool // repeats of it can be told by key
+	once     bool // it must not run twice
+	key      keyID
+	arrived  time.Duration // by the module's clock
+	body     []byte
+	repeats  *try
+	answered bool // no answer is owed any more
+	state    progress
+	halted   bool
+	result   []byte // kept for repeats
+	stored   bool   // result is valid
+	expired  bool   // no repeat can find it any more
+	waiters  []*try // repeats that wait for its run
+}
+
+// maxFootprint is what a request's memory stays under, in KB.
+const maxFootprint = 2000
+
+// fields reads the fields of a request and keeps the first complaint.
+type fields struct {
+	of  map[string]string
+	err error
+}
+
+// text reads a field that must be there.
+func (f *fields) text(name string) string {
+	value := f.of[strings.ToLower(name)]
+	if value == "" {
+		f.fail(name, value)
+	}
+	return value
+}
+
+// fail notes a field that makes no sense.
+func (f *fields) fail(name, value string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("field %s is %q", name, value)
+	}
+}
+
+// number reads a field within bounds; one that is absent is the default where there is one.
+func (f *fields) number(name string, from, under float64, absent ...float64) float64 {
+	text := f.of[strings.ToLower(name)]
+	if text == "" && len(absent) > 0 {
+		return absent[0]
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= from && value < under) {
+		f.fail(name, text)
+	}
+	return value
+}
+
+// hex reads a field of so many hex digits.
+func (f *fields) hex(name string, digits int) string {
+	text := f.text(name)
+	for _, r := range text {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", r) {
+			f.fail(name, text)
+		}
+	}
+	if len(text) != digits {
+		f.fail(name, text)
+	}
+	return text
+}
+
+// read turns a request of a gateway into a try and what the module is told of it.
+func (s *Server) read(r front.Request, now time.Duration) (*try, tillerusher.Request, error) {
+	f := &fields{of: r.Fields}
+	class, known := s.classes[strings.TrimPrefix(r.Path, classPath)]
+	if !known || !strings.HasPrefix(r.Path, classPath) {
+		f.fail("SCRIPT_NAME", r.Path)
+	}
+	if r.Method != "POST" {
+		f.fail("REQUEST_METHOD", r.Method)
+	}
+	t := &try{wire: f.hex("Request-Id", 16), class: class, body: r.Body}
+	stamp := f.number("Received-At", 1, 1e15)
+	q := tillerusher.Request{Class: class, Retry: r.Fields["attempt-again"] == "1",
+		Caller: int(f.number("Sent-By", 0, 1<<31, 0)),
+		Work:   time.Duration(f.number("Work-Estimate", 0, 1e9, 0) * float64(time.Millisecond)),
+		SizeKB: f.number("Footprint-Kb", 0, maxFootprint)}
+	f.number("Priority-Rank", 0, 1, 0)
+	if len(s.tenants) > 0 {
+		account := f.text("Account")
+		if q.Tenant, known = s.tenants[account]; !known {
+			f.fail("Account", account)
+		}
+	}
+	set := s.told.Module
+	switch effect := set.Classes[class].Effect; {
+	case effect == tillerusher.Keyed:
+		t.keyed, t.once, t.key = true, true, keyID{class, f.hex("Once-Key", 32)}
+	case effect == tillerusher.Unsafe:
+		t.once = true
+	case r.Fields["resource-key"] != "":
+		subject, err := strconv.ParseUint(r.Fields["resource-key"], 16, 64)
+		if err != nil {
+			f.fail("Resource-Key", r.Fields["resource-key"])
+		}
+		q.Subject = subject
+		if set.Fresh > 0 && subject != 0 {
+			t.keyed, t.key = true, keyID{class, r.Fields["resource-key"]}
+		}
+	}
+	if f.err != nil {
+		return nil, q, f.err
+	}
+	// The time that a request lay unread counts: its caller waits since Received-At.
+	unix := s.loop.Now().Round(0)
+	q.Waited = max(unix.Sub(time.UnixMilli(int64(stamp))), 0)
+	t.arrived = now - q.Waited
+	return t, q, nil
+}
