--- /dev/null
+++ b/cmd/tillerusher/main_test.go
@@ -0,0 +1,404 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"tillerusher/internal/testkit"
+)
+
+// program is the built command, which the tests start as the platform does.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "tillerusher")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "tillerusher")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// start starts a node whose interpreter is up, and waits until it serves.
+func start(t *testing.T, prepare func(it *testkit.Interpreter)) *testkit.Node {
+	t.Helper()
+	it := testkit.NewInterpreter(t)
+	if prepare != nil {
+		prepare(it)
+	}
+	n := testkit.Start(t, program, it, nil)
+	n.WaitUp()
+	return n
+}
+
+func prompt(it *testkit.Interpreter) { it.Prompt() }
+
+// TestServe has requests of both classes served, with any bytes, and looks at what goes along.
+func TestServe(t *testing.T) {
+	n := start(t, prompt)
+	if got := n.Report(); got != "announce n3 true" {
+		t.Errorf("report %q", got)
+	}
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("a\x00\xff").Records(1), testkit.Reserve(1, "").Records(2))
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "[a\x00\xff]" {
+		t.Errorf("answer %+v", a)
+	}
+	if a := g.Answer(2); a.Status != 200 || string(a.Body) != "[]" {
+		t.Errorf("answer %+v", a)
+	}
+	for _, run := range n.Applied() {
+		if run.Class == "part-lookup" && string(run.Body) != "a\x00\xff" {
+			t.Errorf("the body reached the interpreter as %q", run.Body)
+		}
+	}
+	// The module sets the value that callers read at its first look at the gauges.
+	testkit.Wait(t, "the hint on an answer", func() bool {
+		g.Write(testkit.Lookup("").Records(1))
+		return g.Answer(1).Header.Get("Server-Hint") != ""
+	})
+	g.Write(testkit.Health(false).Records(1))
+	if a := g.Answer(1); a.Status != 200 || a.Header.Get("Server-Hint") == "" {
+		t.Errorf("health check %+v", a)
+	}
+	if got := n.Report(); got != "announce n3 true" {
+		t.Errorf("second report %q", got)
+	}
+}
+
+// TestRepeats sends two tries of one request at once and a third after it was served: it runs once, and all
+// are answered by that run.
+func TestRepeats(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	first, second := testkit.Reserve(7, "x"), testkit.Reserve(7, "x").With("Attempt-Again", "1")
+	g.Write(append(first.Records(1), second.Records(2)...))
+	n.End(n.WaitApplied(1)[0].ID, "OK", []byte("done"))
+	for id := range uint16(2) {
+		if a := g.Answer(id + 1); a.Status != 200 || string(a.Body) != "done" {
+			t.Errorf("answer %+v", a)
+		}
+	}
+	other := testkit.Dial(t, n.Addr)
+	other.Write(testkit.Reserve(7, "x").With("Attempt-Again", "1").Records(1))
+	if a := other.Answer(1); a.Status != 200 || string(a.Body) != "done" {
+		t.Errorf("answer to the later try %+v", a)
+	}
+	if runs := n.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+	n.WaitCounter("reused", 2)
+}
+
+// TestFailedRun answers a request whose run failed, and never runs another try of it.
+func TestFailedRun(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(7, "x").Records(1))
+	n.End(n.WaitApplied(1)[0].ID, "ERROR", nil)
+	if a := g.Answer(1); a.Status != 500 {
+		t.Errorf("answer %+v", a)
+	}
+	g.Write(testkit.Reserve(7, "x").Records(2))
+	if a := g.Answer(2); a.Status != 500 || a.Protocol != 0 {
+		t.Errorf("answer to the second try %+v", a)
+	}
+	if runs := n.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestLinkLost loses the link while a request runs, which ends meanwhile: the notice is read on the next link,
+// and nothing runs twice.
+func TestLinkLost(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(1, "x").Records(1))
+	first := n.WaitApplied(1)[0].ID
+	n.Refuse(true)
+	n.Cut()
+	n.End(first, "OK", []byte("while away"))
+	g.Write(testkit.Reserve(2, "y").Records(2)) // asked for while no link stands
+	n.WaitCounter("open", 2)
+	n.Refuse(false)
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "while away" {
+		t.Errorf("answer %+v", a)
+	}
+	runs := n.WaitApplied(2)
+	n.Cut() // the run goes on and is not begun again by the APPLY that asks whether it does
+	n.WaitCounter("reapplied", 1)
+	n.End(runs[1].ID, "OK", []byte("second"))
+	if a := g.Answer(2); a.Status != 200 || string(a.Body) != "second" {
+		t.Errorf("answer %+v", a)
+	}
+	if runs := n.Applied(); len(runs) != 2 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestCallerLost closes a connection with a request that runs: the server goes on, and a further try gets the
+// result of that run.
+func TestCallerLost(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(1, "x").Records(1))
+	run := n.WaitApplied(1)[0].ID
+	g.Close()
+	n.WaitCounter("lost", 1)
+	n.End(run, "OK", []byte("kept"))
+	g = testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(1, "x").Records(1))
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "kept" {
+		t.Errorf("answer %+v", a)
+	}
+	if runs := n.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestDue fails a request whose run does not end in time, counted from its arrival at the machine.
+func TestDue(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	const unread = 3300 * time.Millisecond // of 3.7 s
+	arrived := time.Now().Add(-unread)
+	g.Write(testkit.Lookup("").With("Received-At", strconv.FormatInt(arrived.UnixMilli(), 10)).Records(1))
+	a := g.Answer(1)
+	if a.Status != 500 && a.Status != 503 {
+		t.Errorf("answer %+v", a)
+	}
+	if late := time.Since(arrived) - 3700*time.Millisecond; late > 100*time.Millisecond && os.Getenv("CI") == "" {
+		t.Errorf("answered %v after it was due", late)
+	}
+	// The run is stopped, and its end is no second answer.
+	n.WaitCounter("running", 0)
+	g.Write(testkit.Health(false).Records(2))
+	if a := g.Answer(0); a.ID != 2 {
+		t.Errorf("second answer %+v", a)
+	}
+}
+
+// TestDrain leaves with one request under way: it is answered, what comes after the grace is not run, and the
+// process ends by itself before it would be killed.
+func TestDrain(t *testing.T) {
+	n := start(t, nil)
+	n.Report()
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("").Records(1))
+	run := n.WaitApplied(1)[0].ID
+	n.Signal(syscall.SIGTERM)
+	begun := time.Now()
+	testkit.Wait(t, "the report of the leave", func() bool { return n.Report() == "announce n3 false" })
+	testkit.Wait(t, "the end of the grace", func() bool { return time.Since(begun) > 400*time.Millisecond })
+	g.Write(testkit.Lookup("late").Records(2))
+	if a := g.Answer(2); a.Status != 503 || a.Header.Get("Back-Off-Ms") != "1000" {
+		t.Errorf("answer after the grace %+v", a)
+	}
+	n.End(run, "OK", []byte("in time"))
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "in time" {
+		t.Errorf("answer %+v", a)
+	}
+	g.Ended()
+	if status := n.WaitExit(); status != 0 {
+		t.Errorf("exit status %d", status)
+	}
+	if runs := n.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+	if n.Counter("served") != 1 || n.Counter("refused") != 1 {
+		t.Errorf("counters at the exit: %d served, %d refused", n.Counter("served"), n.Counter("refused"))
+	}
+}
+
+// TestDrainStuck leaves with a run that never ends: its request is failed and the process goes.
+func TestDrainStuck(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(1, "x").Records(1))
+	n.WaitApplied(1)
+	n.Signal(syscall.SIGTERM)
+	if a := g.Answer(1); a.Status != 500 {
+		t.Errorf("answer %+v", a)
+	}
+	g.Ended()
+	if status := n.WaitExit(); status != 0 {
+		t.Errorf("exit status %d", status)
+	}
+}
+
+// TestBadInput answers what can be answered, closes only what is broken, and counts both.
+func TestBadInput(t *testing.T) {
+	n := start(t, prompt)
+	g := testkit.Dial(t, n.Addr)
+	good := testkit.Reserve(1, "x")
+	for what, c := range map[string]struct {
+		r      testkit.Request
+		status int
+	}{
+		"no id":           {good.With("Request-Id", ""), 400},
+		"short id":        {good.With("Request-Id", "9b1f"), 400},
+		"no time":         {good.With("Received-At", ""), 400},
+		"strange time":    {good.With("Received-At", "yesterday"), 400},
+		"strange account": {good.With("Account", "acme"), 400},
+		"no key":          {good.With("Once-Key", ""), 400},
+		"no footprint":    {good.With("Footprint-Kb", ""), 400},
+		"huge footprint":  {good.With("Footprint-Kb", "2000"), 400},
+		"not a number":    {good.With("Work-Estimate", "NaN"), 400},
+		"rank of 1":       {good.With("Priority-Rank", "1"), 400},
+		"unknown class":   {testkit.Request{Method: "POST", Path: "/v1/brake-fluid", Fields: good.Fields}, 400},
+		"no class":        {testkit.Request{Method: "POST", Path: "/stock-reserve", Fields: good.Fields}, 400},
+		"wrong method":    {testkit.Request{Method: "GET", Path: good.Path, Fields: good.Fields}, 400},
+		"long body":       {testkit.Reserve(1, strings.Repeat("b", 2049)), 413},
+	} {
+		g.Write(c.r.Records(1))
+		if a := g.Answer(1); a.Status != c.status {
+			t.Errorf("%s: answer %+v, want status %d", what, a, c.status)
+		}
+	}
+	broken := testkit.Dial(t, n.Addr)
+	broken.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	broken.Ended()
+	g.Write(good.Records(2))
+	if a := g.Answer(2); a.Status != 200 {
+		t.Errorf("answer after all that %+v", a)
+	}
+	n.WaitCounter("invalid", 13)
+	n.WaitCounter("too_large", 1)
+	n.WaitCounter("broken", 1)
+}
+
+// TestTooMany fills a connection: what is over its limit gets the protocol's own answer.
+func TestTooMany(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	for id := range uint16(33) {
+		g.Write(testkit.Lookup("").Records(id + 1))
+	}
+	if a := g.Answer(33); a.Protocol != 2 || a.Status != 0 {
+		t.Errorf("answer %+v", a)
+	}
+	n.WaitCounter("too_many", 1)
+}
+
+// TestAbort ends a request that its gateway gave up, once.
+func TestAbort(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("").Records(1))
+	run := n.WaitApplied(1)[0].ID
+	g.Write(testkit.Record(testkit.Abort, 1, nil, 0))
+	if a := g.Answer(1); a.Status != 500 {
+		t.Errorf("answer %+v", a)
+	}
+	n.End(run, "OK", []byte("unwanted"))
+	n.WaitCounter("running", 0)
+	g.Write(testkit.Health(false).Records(2))
+	if a := g.Answer(0); a.ID != 2 {
+		t.Errorf("second answer %+v", a)
+	}
+}
+
+// TestNotYetUp has an interpreter that comes up late: checks fail until then, and nothing is announced.
+func TestNotYetUp(t *testing.T) {
+	it := testkit.NewInterpreter(t)
+	it.Down()
+	n := testkit.Start(t, program, it, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Health(false).Records(1), testkit.Lookup("").Records(2))
+	if a := g.Answer(1); a.Status != 503 {
+		t.Errorf("health check %+v", a)
+	}
+	if a := g.Answer(2); a.Status != 503 {
+		t.Errorf("request %+v", a)
+	}
+	it.Start()
+	n.WaitUp()
+	if got := n.Report(); got != "announce n3 true" {
+		t.Errorf("report %q", got)
+	}
+}
+
+// TestDescriptorsOut takes all descriptors away: callers are turned away at once, and let in again later.
+func TestDescriptorsOut(t *testing.T) {
+	n := start(t, prompt)
+	n.WaitCounter("connections", 0)
+	used, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before unix.Rlimit
+	if err := unix.Prlimit(n.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
+		t.Fatal(err)
+	}
+	highest := 0
+	for _, fd := range used {
+		number, _ := strconv.Atoi(fd.Name())
+		highest = max(highest, number)
+	}
+	few := unix.Rlimit{Cur: uint64(highest + 1), Max: before.Max}
+	if err := unix.Prlimit(n.Process.Pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Wait(t, "a caller to be turned away", func() bool {
+		testkit.Dial(t, n.Addr)
+		n.Signal(syscall.SIGUSR1)
+		return n.Counter("accept_errors") > 0
+	})
+	if err := unix.Prlimit(n.Process.Pid, unix.RLIMIT_NOFILE, &before, nil); err != nil {
+		t.Fatal(err)
+	}
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("").Records(1))
+	if a := g.Answer(1); a.Status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// TestBadConfig ends with one line that names the field.
+func TestBadConfig(t *testing.T) {
+	for field, change := range map[string]func(c map[string]any){
+		"stop_ms":             func(c map[string]any) { delete(c, "stop_ms") },
+		"vm":                  func(c map[string]any) { c["vm"] = "interpreter:9300" },
+		"settings":            func(c map[string]any) { delete(c, "settings") },
+		"limits.memory_mb":    func(c map[string]any) { c["limits"] = map[string]any{"cores": 1, "sockets": 1024} },
+		"Cores":               func(c map[string]any) { c["settings"] = map[string]any{} },
+		"family-info.below":   func(c map[string]any) { c["settings"] = map[string]any{"family-info": map[string]any{"below": "tier"}} },
+		"address already in ": nil,
+	} {
+		if change == nil {
+			change = func(c map[string]any) {}
+			it := testkit.NewInterpreter(t)
+			first := testkit.Start(t, program, it, nil)
+			first.WaitUp()
+			cmd := exec.Command(program)
+			cmd.Env = append(os.Environ(), "RELAY_CONFIG="+first.ConfigPath, "RELAY_LISTEN="+first.Addr)
+			out, err := cmd.CombinedOutput()
+			if err == nil || !strings.Contains(string(out), field) || strings.Count(string(out), "\n") != 1 {
+				t.Errorf("%s: error %v, output %q", field, err, out)
+			}
+			continue
+		}
+		n := testkit.Start(t, program, testkit.NewInterpreter(t), change)
+		status := n.WaitExit()
+		if log := n.Log(); status == 0 || !strings.Contains(log, field) || strings.Count(log, "\n") != 1 {
+			t.Errorf("%s: exit status %d, output %q", field, status, log)
+		}
+	}
+}
--- /dev/null
+++ b/internal/announce/announce_test.go
@@ -0,0 +1,45 @@
+package announce
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"tillerusher/internal/testkit"
+)
+
+// TestReport sends both reports, and goes on after the service was away.
+func TestReport(t *testing.T) {
+	service, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := service.LocalAddr().(*net.UDPAddr)
+	r, err := New(addr.AddrPort(), "n3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	buf := make([]byte, 100)
+	expect := func(accepting bool, want string) {
+		t.Helper()
+		if err := r.Report(accepting); err != nil {
+			t.Fatal(err)
+		}
+		service.SetReadDeadline(time.Now().Add(testkit.Patience))
+		if n, err := service.Read(buf); err != nil || string(buf[:n]) != want {
+			t.Errorf("read %q, %v, want %q", buf[:n], err, want)
+		}
+	}
+	expect(true, "announce n3 true")
+	expect(false, "announce n3 false")
+	service.Close()
+	r.Report(true) // nobody hears it, and the socket may learn of that at the next
+	r.Report(true)
+	if service, err = net.ListenUDP("udp4", addr); err != nil {
+		t.Skip("the address is taken")
+	}
+	defer service.Close()
+	r.Report(true)
+	expect(true, "announce n3 true")
+}
--- /dev/null
+++ b/internal/fastcgi/model_test.go
@@ -0,0 +1,159 @@
+package fastcgi
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"tillerusher/internal/front"
+	"tillerusher/internal/testkit"
+)
+
+// modelRequest is what the model knows of an open request.
+type modelRequest struct {
+	body       []byte
+	paramsDone bool
+	handed     bool
+}
+
+// model is the state that a connection should be in, next to the one that it is in.
+type model struct {
+	*peer
+	open    map[uint16]*modelRequest
+	answers int // that the gateway should have read
+	aborts  int // that the handler should have heard of
+}
+
+// send feeds a record in pieces of any size.
+func (m *model) send(t *rapid.T, b []byte) {
+	for len(b) > 0 {
+		n := rapid.IntRange(1, len(b)).Draw(t, "piece")
+		m.feed(b[:n])
+		if m.err != nil {
+			t.Fatal(m.err)
+		}
+		b = b[n:]
+	}
+}
+
+// id draws an id, of which a few are in use again and again.
+func id(t *rapid.T) uint16 { return rapid.Uint16Range(1, 6).Draw(t, "id") }
+
+// padding draws the padding of a record.
+func padding(t *rapid.T) byte { return rapid.SampledFrom([]byte{0, 0, 1, 7, 255}).Draw(t, "padding") }
+
+// TestModel checks random steps of a gateway and a handler against the model.
+func TestModel(t *testing.T) {
+	list := lookup("").ParamBytes()
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{peer: newPeer(t), open: map[uint16]*modelRequest{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				id := id(t)
+				if m.open[id] != nil {
+					t.Skip("a second begin breaks the stream")
+				}
+				role := rapid.SampledFrom([]uint16{1, 1, 1, 3}).Draw(t, "role")
+				m.send(t, testkit.BeginRecord(id, role, true))
+				if role != 1 || len(m.open) == testLimits.Requests {
+					m.answers++
+				} else {
+					m.open[id] = &modelRequest{}
+				}
+			},
+			"params": func(t *rapid.T) {
+				id := id(t)
+				cut := rapid.IntRange(1, len(list)-1).Draw(t, "cut")
+				m.send(t, testkit.Record(testkit.Params, id, list[:cut], padding(t)))
+				m.send(t, testkit.Record(testkit.Params, id, list[cut:], padding(t)))
+				m.send(t, testkit.Record(testkit.Params, id, nil, padding(t)))
+				if q := m.open[id]; q != nil {
+					q.paramsDone = true
+				}
+			},
+			"body": func(t *rapid.T) {
+				id, part := id(t), rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "part")
+				m.send(t, testkit.Record(testkit.Stdin, id, part, padding(t)))
+				if q := m.open[id]; q != nil && !q.handed {
+					q.body = append(q.body, part...)
+				}
+			},
+			"last": func(t *rapid.T) {
+				id := id(t)
+				m.send(t, testkit.Record(testkit.Stdin, id, nil, padding(t)))
+				q := m.open[id]
+				switch {
+				case q == nil || q.handed:
+				case !q.paramsDone || len(q.body) > testLimits.Body:
+					delete(m.open, id)
+					m.answers++
+				default:
+					q.handed = true
+					if got := m.got[front.Stream(id)]; !bytes.Equal(got.Body, q.body) || got.Fields["sent-by"] != "4" {
+						t.Fatalf("handed over %+v, want the body %q", got, q.body)
+					}
+				}
+			},
+			"abort": func(t *rapid.T) {
+				id := id(t)
+				m.send(t, testkit.Record(testkit.Abort, id, nil, padding(t)))
+				switch q := m.open[id]; {
+				case q == nil:
+				case q.handed:
+					m.aborts++
+				default:
+					delete(m.open, id)
+					m.answers++
+				}
+			},
+			"answer": func(t *rapid.T) {
+				id := id(t)
+				m.session.Answer(front.Stream(id), front.Answer{Status: 200, Body: []byte{byte(id)},
+					Overloaded: rapid.Bool().Draw(t, "overloaded")})
+				if q := m.open[id]; q != nil && q.handed {
+					delete(m.open, id)
+					delete(m.got, front.Stream(id))
+					m.answers++
+				}
+			},
+			"manage": func(t *rapid.T) {
+				kind := rapid.SampledFrom([]byte{testkit.GetValues, 50}).Draw(t, "kind")
+				m.send(t, testkit.Record(kind, 0, testkit.Pair("FCGI_MAX_REQS", "", false), padding(t)))
+				m.answers++
+			},
+			"": func(t *rapid.T) {
+				handed := 0
+				for _, q := range m.open {
+					if q.handed {
+						handed++
+					}
+				}
+				if len(m.peer.answers) != m.answers || m.session.Open() != len(m.open) || len(m.got) != handed || len(m.aborted) != m.aborts {
+					t.Fatalf("%d answers, %d open, %d handed over, %d aborts; want %d, %d, %d, %d", len(m.peer.answers),
+						m.session.Open(), len(m.got), len(m.aborted), m.answers, len(m.open), handed, m.aborts)
+				}
+			},
+		})
+	})
+}
+
+// FuzzFeed makes sure that no bytes of a gateway panic, and that the split of a stream changes nothing.
+func FuzzFeed(f *testing.F) {
+	f.Add(lookup("body").Records(1), 9)
+	f.Add(append(testkit.BeginRecord(2, 1, false), testkit.Record(testkit.Abort, 2, nil, 9)...), 17)
+	f.Add(testkit.Record(testkit.GetValues, 0, testkit.Pair("FCGI_MAX_REQS", "", true), 1), 3)
+	f.Fuzz(func(t *testing.T, stream []byte, cut int) {
+		whole, split := newPeer(t), newPeer(t)
+		whole.feed(stream)
+		cut = min(max(cut, 0), len(stream))
+		split.feed(stream[:cut])
+		if split.err == nil {
+			split.feed(stream[cut:])
+		}
+		if (whole.err == nil) != (split.err == nil) || len(whole.answers) != len(split.answers) || len(whole.got) != len(split.got) {
+			t.Errorf("whole: %v, %d answers, %d handed over; cut at %d: %v, %d, %d", whole.err, len(whole.answers),
+				len(whole.got), cut, split.err, len(split.answers), len(split.got))
+		}
+	})
+}
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -9,13 +10,20 @@
 	"tillerusher/internal/front"
 )
 
+// errFinished ends the parsing of a connection that is to be closed.
+var errFinished = errors.New("fastcgi: connection finished")
+
 // Limits bound what one session takes in.
 type Limits struct {
 	Requests int // requests open at a time
 	Params   int // bytes of the parameters of one request
 	Body     int // bytes of the body of one request
+	Memory   int // bytes of all requests of all sessions that are not answered
 }
 
+// budget is what is left of the memory of all sessions.
+type budget struct{ left int }
+
 // request is one open request of a session.
 type request struct {
 	keep       bool // the connection stays open after the answer
@@ -25,11 +33,13 @@
 	handed     bool // the handler has it
 	flawed     bool
 	flaw       front.Flaw
+	booked     int // bytes taken from the budget
 }
 
 // Session is the state of one connection.
 type Session struct {
 	limits   Limits
+	memory   *budget
 	out      front.Output
 	handler  front.Handler
 	parse    parser
@@ -41,8 +51,9 @@
 
 // New returns a protocol whose sessions keep to the limits.
 func New(l Limits) front.Protocol {
+	memory := &budget{l.Memory}
 	return func(out front.Output, h front.Handler) front.Session {
-		return &Session{limits: l, out: out, handler: h, open: map[uint16]*request{}}
+		return &Session{limits: l, memory: memory, out: out, handler: h, open: map[uint16]*request{}}
 	}
 }
 
@@ -51,14 +62,27 @@
 	if s.finished {
 		return nil // the answer that ends the connection is on its way
 	}
-	return s.parse.feed(p, s)
+	if err := s.parse.feed(p, s); err != errFinished {
+		return err
+	}
+	return nil
 }
 
 // Open implements front.Session.
 func (s *Session) Open() int { return len(s.open) }
 
-// Finished implements front.Session.
-func (s *Session) Finished() bool { return s.finished && len(s.open) == 0 }
+// Finished implements front.Session. Requests that were still coming are given up with the connection.
+func (s *Session) Finished() bool {
+	if !s.finished {
+		return false
+	}
+	for _, q := range s.open {
+		if q.handed {
+			return false
+		}
+	}
+	return true
+}
 
 // part takes in content as it comes. What is over a limit is dropped and noted.
 func (s *Session) part(r record, p []byte) {
@@ -81,6 +105,13 @@
 		q.spoil(front.TooLarge)
 		return to
 	}
+	// Requests that come in slowly on many connections must not fill the memory.
+	if len(p) > s.memory.left {
+		q.spoil(front.TooMany)
+		return to
+	}
+	s.memory.left -= len(p)
+	q.booked += len(p)
 	return append(to, p...)
 }
 
@@ -91,9 +122,21 @@
 	}
 }
 
-// end acts on a whole record. Records of requests that are not open are passed over, as the gateway may have
-// sent them before it saw the end.
+// end acts on a whole record. What follows the record that ends the connection is not looked at, in the same
+// read as in a later one.
 func (s *Session) end(r record) error {
+	if err := s.act(r); err != nil {
+		return err
+	}
+	if s.finished {
+		return errFinished
+	}
+	return nil
+}
+
+// act carries out a record. Records of requests that are not open are passed over, as the gateway may have
+// sent them before it saw the end.
+func (s *Session) act(r record) error {
 	control := s.control
 	s.control = s.control[:0]
 	if r.id == 0 {
@@ -165,12 +208,12 @@
 	}
 	q.params = nil
 	if q.flawed {
-		status := 400
+		a := front.Answer{Status: 400, Overloaded: q.flaw == front.TooMany}
 		if q.flaw == front.TooLarge {
-			status = 413
+			a.Status = 413
 		}
 		s.handler.Flawed(q.flaw)
-		s.Answer(front.Stream(id), front.Answer{Status: status})
+		s.Answer(front.Stream(id), a)
 		return
 	}
 	s.handler.Request(s, front.Stream(id), r)
@@ -219,9 +262,19 @@
 	s.out.Write(records)
 	s.buf = records[:0]
 	delete(s.open, id)
+	s.memory.left += q.booked
 	s.finished = s.finished || !q.keep
 }
 
+// Close implements front.Session.
+func (s *Session) Close() {
+	for id, q := range s.open {
+		delete(s.open, id)
+		s.memory.left += q.booked
+	}
+	s.finished = true
+}
+
 // manage answers a management record.
 func (s *Session) manage(r record, content []byte) error {
 	if r.kind != typeGetValues {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,8 @@
 	Answer(id Stream, a Answer)
 	// Open is how many requests were begun and are not answered.
 	Open() int
+	// Close gives up what is still coming: the connection has ended.
+	Close()
 	// Finished tells whether the connection is to be closed once its output is sent.
 	Finished() bool
 }
--- a/internal/interp/dial.go
+++ b/internal/interp/dial.go
@@ -1,6 +1,7 @@
 package interp
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
@@ -16,7 +17,9 @@
 	loop    *loop.Loop
 	to      netip.AddrPort
 	conn    *loop.Conn
-	retry   *loop.Timer
+	ticker  *loop.Timer
+	dialled time.Time
+	stands  bool // the connection is made
 	told    bool // the present trouble was reported
 	stopped bool
 }
@@ -39,7 +42,7 @@
 		d.Closed(nil, err)
 		return
 	}
-	d.conn = conn
+	d.conn, d.dialled, d.stands = conn, d.loop.Now(), false
 }
 
 // tick gives up old questions now and then.
@@ -48,12 +51,16 @@
 		return
 	}
 	d.Tick(d.loop.Now())
-	d.retry = d.loop.After(Timeout/10, d.tick)
+	if d.conn != nil && !d.stands && d.loop.Now().Sub(d.dialled) >= Timeout {
+		d.conn.Close()
+		d.Closed(d.conn, errors.New("no answer to the call"))
+	}
+	d.ticker = d.loop.After(Timeout/10, d.tick)
 }
 
 // Connected implements loop.ConnHandler.
 func (d *Dialer) Connected(c *loop.Conn) {
-	d.told = false
+	d.told, d.stands = false, true
 	d.Link.Connected(c.Write, d.loop.Now())
 }
 
@@ -79,7 +86,7 @@
 // Close ends the link for good.
 func (d *Dialer) Close() {
 	d.stopped = true
-	d.loop.Cancel(d.retry)
+	d.loop.Cancel(d.ticker)
 	if d.conn != nil {
 		d.conn.Close()
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -175,7 +175,8 @@
 		}
 	}
 	if len(c.out) == 0 && c.closing {
-		c.Close()
+		c.err = io.EOF
+		c.loop.failed = append(c.loop.failed, c)
 		return
 	}
 	c.rewatch()
@@ -206,10 +207,16 @@
 	return err == unix.EAGAIN
 }
 
+// Stuck tells whether there is something to be sent and the peer took none of it for the time.
+func (c *Conn) Stuck(since time.Duration) bool {
+	return len(c.out) > 0 && c.loop.now.Sub(c.active) >= since
+}
+
 // Unsent is how many bytes wait to be sent.
 func (c *Conn) Unsent() int { return len(c.out) }
 
-// CloseSent closes the connection once all that is queued is sent; it is not read any more.
+// CloseSent closes the connection once all that is queued is sent, and then tells its handler; it is not read
+// any more.
 func (c *Conn) CloseSent() {
 	c.closing = true
 	c.touch()
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,223 @@
+package loop
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tillerusher/internal/testkit"
+)
+
+// echo is a handler that answers with what it reads.
+type echo struct {
+	connected, closed chan error
+	onData            func(c *Conn, p []byte)
+}
+
+func newEcho() *echo {
+	return &echo{connected: make(chan error, 16), closed: make(chan error, 16), onData: func(c *Conn, p []byte) { c.Write(p) }}
+}
+
+func (e *echo) Connected(*Conn)           { e.connected <- nil }
+func (e *echo) Data(c *Conn, p []byte)    { e.onData(c, p) }
+func (e *echo) Closed(_ *Conn, err error) { e.closed <- err }
+
+// serve runs a loop that listens, and ends it with the test.
+func serve(t *testing.T, h ConnHandler, settle func()) (*Loop, string) {
+	t.Helper()
+	l, err := New(testTick)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), Accepted{
+		Conn: func(*Conn) ConnHandler { return h }, Failed: func(err error) { t.Error(err) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, err := ln.Addr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- l.Run(func() bool { settle(); return false })
+	}()
+	t.Cleanup(func() {
+		l.Post(l.Stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		ln.Close()
+		l.Close()
+	})
+	return l, addr.String()
+}
+
+// TestEcho sends more than any buffer holds both ways: a peer that does not read for a while loses nothing, and
+// what waits for it stays bounded.
+func TestEcho(t *testing.T) {
+	unsent := 0
+	e := newEcho()
+	e.onData = func(c *Conn, p []byte) {
+		c.Write(p)
+		unsent = max(unsent, c.Unsent())
+	}
+	_, addr := serve(t, e, func() {})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
+	go func() {
+		c.Write(sent)
+		c.(*net.TCPConn).CloseWrite()
+	}()
+	got := make([]byte, 0, len(sent))
+	buf := make([]byte, 1<<16)
+	c.SetReadDeadline(time.Now().Add(testkit.Patience))
+	for len(got) < len(sent) {
+		n, err := c.Read(buf)
+		got = append(got, buf[:n]...)
+		if err != nil {
+			break
+		}
+	}
+	// The end of the peer's side ends the connection: only what was read before it is certain to come back.
+	if !bytes.HasPrefix(sent, got) || len(got) < len(sent)-highWater-readSize-8<<20 {
+		t.Errorf("%d bytes came back of %d", len(got), len(sent))
+	}
+	if err := <-e.closed; !errors.Is(err, io.EOF) {
+		t.Errorf("closed with %v", err)
+	}
+	if unsent > highWater+readSize {
+		t.Errorf("%d bytes waited to be sent", unsent)
+	}
+}
+
+// TestRound reports all that is ready before the owner settles once, and sends all of a round together.
+func TestRound(t *testing.T) {
+	events, settled := 0, make(chan int, 1000)
+	e := newEcho()
+	e.onData = func(c *Conn, p []byte) {
+		for range p {
+			events++
+			c.Write([]byte("x"))
+		}
+	}
+	l, addr := serve(t, e, func() {
+		if events > 0 {
+			settled <- events
+			events = 0
+		}
+	})
+	block := make(chan bool)
+	l.Post(func() { <-block })
+	var conns []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	block <- true
+	// All three connections are in the loop once each has got an answer.
+	for _, c := range conns {
+		io.WriteString(c, "a")
+		io.ReadFull(c, make([]byte, 1))
+		<-settled
+	}
+	l.Post(func() { <-block })
+	for _, c := range conns {
+		io.WriteString(c, "abc")
+	}
+	block <- true
+	total := 0
+	for total < 9 {
+		total += <-settled
+	}
+	for _, c := range conns {
+		c.SetReadDeadline(time.Now().Add(testkit.Patience))
+		if _, err := io.ReadFull(c, make([]byte, 3)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestDial connects, and hears of a call that nobody takes.
+func TestDial(t *testing.T) {
+	e := newEcho()
+	l, addr := serve(t, newEcho(), func() {})
+	l.Post(func() {
+		c, err := l.Dial(netip.MustParseAddrPort(addr), e)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		c.Write([]byte("early")) // goes out once the connection stands
+	})
+	if err := <-e.connected; err != nil {
+		t.Error(err)
+	}
+	refused := newEcho()
+	nobody := netip.MustParseAddrPort(testkit.FreeAddr(t))
+	l.Post(func() {
+		if _, err := l.Dial(nobody, refused); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := <-refused.closed; err == nil {
+		t.Error("a call that nobody takes ended without an error")
+	}
+}
+
+// TestQuietAndCloseSent finds a connection quiet only when nothing waits in it, and sends before it closes.
+func TestQuietAndCloseSent(t *testing.T) {
+	var conn *Conn
+	e := newEcho()
+	got := make(chan string, 10)
+	e.onData = func(c *Conn, p []byte) { conn = c; got <- string(p) }
+	l, addr := serve(t, e, func() {})
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "a")
+	<-got
+	quiet := make(chan bool)
+	l.Post(func() {
+		// Written while the loop stands in this round: it waits in the socket.
+		io.WriteString(c, "b")
+		for end := time.Now().Add(testkit.Patience); conn.Quiet(0) && time.Now().Before(end); {
+		}
+		quiet <- conn.Quiet(0)
+	})
+	if <-quiet {
+		t.Error("quiet with a byte in the socket")
+	}
+	<-got
+	l.Post(func() { quiet <- conn.Quiet(0) })
+	if !<-quiet {
+		t.Error("not quiet with nothing in the socket")
+	}
+	l.Post(func() { quiet <- conn.Quiet(time.Hour) })
+	if <-quiet {
+		t.Error("quiet before the time")
+	}
+	l.Post(func() {
+		conn.Write([]byte("bye"))
+		conn.CloseSent()
+	})
+	c.SetReadDeadline(time.Now().Add(testkit.Patience))
+	if rest, err := io.ReadAll(c); string(rest) != "bye" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	<-e.closed
+}
--- /dev/null
+++ b/internal/testkit/node.go
@@ -0,0 +1,179 @@
+package testkit
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Settings is what a node is told of its site: a safe and a keyed class, two tenants.
+const Settings = `{"servers": 2, "tick-ns": 5000000,
+ "lanes": [{"name": "part-lookup", "on-time-ns": 1400000000, "hard-limit-ns": 3700000000, "repeat": "retryable", "worth": 1},
+  {"name": "stock-reserve", "on-time-ns": 2400000000, "hard-limit-ns": 6100000000, "late-worth": 0.2, "repeat": "dedup",
+   "repeat-window-ns": 18354000000, "worth": 2}],
+ "realms": [{"name": "central", "quota-per-s": 55}, {"name": "northern", "quota-per-s": 26}],
+ "family-info": {"below": "none", "caller-idle-ns": 15000000000, "callers": 3, "cores": 2,
+  "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "key-kb": 50, "memory-kb": 40000, "run-factor": 16,
+  "say": "level", "stop-mode": "drop"},
+ "limits": {"max-retry-after-ns": 1000000000, "retry-after": true},
+ "obligations": {"cold-ns": 16000000000, "cold-share": 0.22, "drain-grace-ns": 300000000, "overload-factor": 8}}`
+
+// Node is one running server with all that it talks to.
+type Node struct {
+	*Interpreter
+	Addr       string
+	ConfigPath string
+	Process    *os.Process
+
+	t       testing.TB
+	reports *net.UDPConn
+	mu      sync.Mutex
+	log     bytes.Buffer
+	exited  chan struct{}
+	state   *os.ProcessState
+}
+
+// Write implements io.Writer for the node's log.
+func (n *Node) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.log.Write(p)
+}
+
+// Log returns what the node has logged so far.
+func (n *Node) Log() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.log.String()
+}
+
+// FreeAddr returns a loopback address that nothing listens at.
+func FreeAddr(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Start starts the program with an interpreter; change may edit the configuration.
+func Start(t testing.TB, program string, it *Interpreter, change func(config map[string]any)) *Node {
+	t.Helper()
+	reports, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Interpreter: it, Addr: FreeAddr(t), t: t, reports: reports, exited: make(chan struct{})}
+	config := map[string]any{"name": "n3", "listen": n.Addr, "vm": it.Addr(), "announce": reports.LocalAddr().String(),
+		"seed": "8c1f30d27a5be964", "stop_ms": 3200, "settings": json.RawMessage(Settings),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
+	if change != nil {
+		change(config)
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	n.ConfigPath = path
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "RELAY_NAME=n3", "RELAY_LISTEN="+n.Addr, "RELAY_CONFIG="+path)
+	cmd.Stderr = n
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	n.Process = cmd.Process
+	go func() {
+		cmd.Wait()
+		n.state = cmd.ProcessState
+		close(n.exited)
+	}()
+	t.Cleanup(func() {
+		n.Process.Kill()
+		<-n.exited
+		reports.Close()
+		if t.Failed() {
+			t.Logf("log of the node:\n%s", n.Log())
+		}
+	})
+	return n
+}
+
+// Signal sends the process a signal.
+func (n *Node) Signal(sig syscall.Signal) {
+	n.t.Helper()
+	if err := n.Process.Signal(sig); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+// WaitExit waits for the end of the process and returns its exit status.
+func (n *Node) WaitExit() int {
+	n.t.Helper()
+	select {
+	case <-n.exited:
+		return n.state.ExitCode()
+	case <-time.After(Patience):
+		n.t.Fatal("the process did not end")
+		return -1
+	}
+}
+
+// Report waits for the next report to the announce service.
+func (n *Node) Report() string {
+	n.t.Helper()
+	buf := make([]byte, 256)
+	n.reports.SetReadDeadline(time.Now().Add(Patience))
+	size, err := n.reports.Read(buf)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return string(buf[:size])
+}
+
+// Counter returns a counter of the newest line of counters, or -1 before the first.
+func (n *Node) Counter(name string) int {
+	lines := strings.Split(n.Log(), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		var line map[string]any
+		if json.Unmarshal([]byte(lines[i]), &line) == nil && line["msg"] == "counters" {
+			if value, ok := line[name].(float64); ok {
+				return int(value)
+			}
+		}
+	}
+	return -1
+}
+
+// WaitCounter asks for the counters until one has the value.
+func (n *Node) WaitCounter(name string, want int) {
+	n.t.Helper()
+	Wait(n.t, fmt.Sprintf("counter %s to be %d", name, want), func() bool {
+		n.Signal(syscall.SIGUSR1)
+		return n.Counter(name) == want
+	})
+}
+
+// WaitUp waits until the node serves.
+func (n *Node) WaitUp() {
+	n.t.Helper()
+	Wait(n.t, "a healthy node", func() bool {
+		g := Dial(n.t, n.Addr)
+		defer g.Close()
+		g.Write(Health(false).Records(1))
+		return g.Answer(1).Status == 200
+	})
+}
--- a/server/actions.go
+++ b/server/actions.go
@@ -63,6 +63,7 @@
 	}
 	a.answer(t, r)
 	a.withdraw(t)
+	a.drop(t)
 }
 
 // Fail implements tillerusher.Actions.
@@ -70,21 +71,23 @@
 	if t := a.tries[id]; t != nil && !t.answered {
 		a.answer(t, front.Answer{Status: statusFailed})
 		a.withdraw(t)
+		a.drop(t)
 	}
 }
 
-// withdraw forgets an answered try; a run that the interpreter never heard of is taken back.
-func (a actions) withdraw(t *try) {
-	if t.state == running && a.link.Withdraw(t.wire) {
-		t.state = broken
-		a.after(func() { a.over(t, tillerusher.Cancelled) })
+// withdraw takes back the run of a try that the interpreter never heard of, and tells whether it did.
+func (a actions) withdraw(t *try) bool {
+	if t.state != running || !a.link.Withdraw(t.wire) {
+		return false
 	}
-	a.drop(t)
+	t.state = broken
+	a.after(func() { a.over(t, tillerusher.Cancelled) })
+	return true
 }
 
 // Halt implements tillerusher.Actions.
 func (a actions) Halt(id tillerusher.RequestID) {
-	if t := a.tries[id]; t != nil && t.state == running {
+	if t := a.tries[id]; t != nil && t.state == running && !a.withdraw(t) {
 		a.link.Break(t.wire)
 	}
 }
@@ -98,9 +101,7 @@
 
 // Forget implements tillerusher.Actions.
 func (a actions) Forget(id tillerusher.RequestID) {
-	if t := a.tries[id]; t != nil && t.keyed {
-		a.keys.forget(t)
-	}
+	a.keys.forget(id)
 }
 
 // Reuse implements tillerusher.Actions.
@@ -124,7 +125,11 @@
 func (a actions) Health(good, fromStore bool) { a.healthy, a.fromStore = good, fromStore }
 
 // CloseIdle implements tillerusher.Actions.
-func (a actions) CloseIdle(idle time.Duration) { a.idle = idle }
+func (a actions) CloseIdle(idle time.Duration) {
+	a.idle = idle
+	a.loop.Cancel(a.idleScan)
+	a.scanIdle()
+}
 
 // After implements tillerusher.Actions.
 func (a actions) After(wait time.Duration, token uint32) {
--- a/server/drain.go
+++ b/server/drain.go
@@ -50,10 +50,25 @@
 	s.loop.After(drainPace, s.waitIdle)
 }
 
-// stop answers whatever is left, which the module should not have let come to this, and ends the loop.
+// stop answers whatever is left, which the module should not have let come to this, and ends the loop once all
+// is sent.
 func (s *Server) stop() {
 	for _, t := range s.tries {
 		s.answer(t, front.Answer{Status: statusFailed})
 	}
-	s.loop.Stop()
+	s.loop.After(stopMargin/2, s.loop.Stop)
+	s.waitSent()
+}
+
+// waitSent stops the loop when nothing waits to be sent.
+func (s *Server) waitSent() {
+	unsent := 0
+	for g := range s.gateways {
+		unsent += g.conn.Unsent()
+	}
+	if unsent == 0 {
+		s.loop.Stop()
+		return
+	}
+	s.loop.After(drainPace, s.waitSent)
 }
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -57,7 +57,6 @@
 // closeFinished closes a connection that the gateway did not want kept, once its answer is sent.
 func (g *gateway) closeFinished() {
 	if g.session.Finished() {
-		delete(g.server.gateways, g)
 		g.conn.CloseSent()
 	}
 }
@@ -69,6 +68,7 @@
 func (g *gateway) end() {
 	s := g.server
 	delete(s.gateways, g)
+	g.session.Close()
 	for _, t := range sorted(g.tries) {
 		s.count.lost++
 		t.answered = true
@@ -133,22 +133,31 @@
 	idleScanLeast = 10 * time.Millisecond
 	idleScanMost  = time.Second
 	unusedLeast   = 250 * time.Millisecond
+	// stuckAfter is how long a connection may take none of what is to be sent on it.
+	stuckAfter = 30 * time.Second
 )
 
 // closeIdle closes connections that carried nothing for the time the module set, and looks again later.
 func (s *Server) closeIdle() {
-	if s.idle > 0 {
-		for g := range s.gateways {
-			idle := s.idle
-			if !g.used {
-				idle = max(idle, unusedLeast)
-			}
-			if g.session.Open() == 0 && g.conn.Quiet(idle) {
-				s.count.idleClosed++
-				delete(s.gateways, g)
-				g.conn.Close()
-			}
+	for g := range s.gateways {
+		idle := s.idle
+		if !g.used {
+			idle = max(idle, unusedLeast)
+		}
+		if s.idle > 0 && g.session.Open() == 0 && g.conn.Quiet(idle) || g.conn.Stuck(stuckAfter) {
+			s.count.idleClosed++
+			g.conn.Close()
+			g.end()
 		}
 	}
-	s.loop.After(min(max(s.idle/4, idleScanLeast), idleScanMost), s.closeIdle)
+	s.scanIdle()
+}
+
+// scanIdle sets the time of the next look.
+func (s *Server) scanIdle() {
+	pace := idleScanMost
+	if s.idle > 0 {
+		pace = min(max(s.idle/4, idleScanLeast), idleScanMost)
+	}
+	s.idleScan = s.loop.After(pace, s.closeIdle)
 }
--- a/server/keys.go
+++ b/server/keys.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"tillerusher"
+)
 
 // keyID names an entry: tries of one request agree in both.
 type keyID struct {
@@ -27,6 +31,7 @@
 // repeats then fail, which is no second run.
 type keyTable struct {
 	entries map[keyID]*entry
+	holders map[tillerusher.RequestID]*try // the tries that hold an entry, answered or not
 	results []stored
 	bytes   int // of the results kept
 	limit   int
@@ -35,7 +40,7 @@
 
 // newKeyTable returns an empty table that keeps results of so many bytes.
 func newKeyTable(limit int) keyTable {
-	return keyTable{entries: map[keyID]*entry{}, limit: limit}
+	return keyTable{entries: map[keyID]*entry{}, holders: map[tillerusher.RequestID]*try{}, limit: limit}
 }
 
 // find returns the try that a new arrival repeats, or nil: the one kept, or, where the module's entry ran out
@@ -66,16 +71,29 @@
 // keep makes the try the holder of its key.
 func (k *keyTable) keep(t *try, until time.Duration) {
 	e := k.entry(t.key)
+	k.unhold(e)
 	e.holder, e.until = t, until
+	k.holders[t.id] = t
 }
 
-// forget takes the key from its holder; what was run stays known.
-func (k *keyTable) forget(t *try) {
-	e := k.entries[t.key]
-	if e == nil || e.holder != t {
+// unhold takes an entry from its holder.
+func (k *keyTable) unhold(e *entry) {
+	if e.holder != nil {
+		delete(k.holders, e.holder.id)
+		e.holder = nil
+	}
+}
+
+// forget takes the key from its holder; what was run stays known. The holder is known here by itself: a try
+// that was turned away is forgotten elsewhere before the module gives up its key, and a key left behind would
+// fail every further try of a request that never ran.
+func (k *keyTable) forget(id tillerusher.RequestID) {
+	t := k.holders[id]
+	if t == nil {
 		return
 	}
-	e.holder = nil
+	e := k.entries[t.key]
+	k.unhold(e)
 	if e.ran == nil {
 		delete(k.entries, t.key)
 	}
@@ -126,7 +144,7 @@
 func (k *keyTable) sweep(now, slack time.Duration) {
 	for id, e := range k.entries {
 		if e.holder != nil && now > e.until+slack {
-			e.holder = nil
+			k.unhold(e)
 		}
 		if e.ran != nil && now > e.ranUntil+slack {
 			e.ran.expired, e.ran = true, nil
--- /dev/null
+++ b/server/keys_test.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tillerusher"
+)
+
+func keyedTry(id int, key string, arrived time.Duration) *try {
+	return &try{id: tillerusher.RequestID(id), keyed: true, once: true, key: keyID{1, key}, arrived: arrived}
+}
+
+const window = 18 * time.Second
+
+// TestKeysFind covers who is found under a key: the holder while it is kept, then the try that was run, for
+// arrivals within the time only, whenever they are read.
+func TestKeysFind(t *testing.T) {
+	k := newKeyTable(1 << 20)
+	a := keyedTry(1, "k", time.Second)
+	k.keep(a, 10*time.Second)
+	if k.find(keyID{1, "k"}, 10*time.Second) != a || k.find(keyID{0, "k"}, 0) != nil || k.find(keyID{1, "j"}, 0) != nil {
+		t.Error("a kept try is found by its key and class alone")
+	}
+	if k.find(keyID{1, "k"}, 10*time.Second+1) != nil {
+		t.Error("an entry that ran out was found")
+	}
+	if !k.claim(a, window) || k.find(keyID{1, "k"}, 19*time.Second) != a || k.find(keyID{1, "k"}, 19*time.Second+1) != nil {
+		t.Error("a try that was run is found until its window is over")
+	}
+	if k.claim(keyedTry(2, "k", 19*time.Second), window) {
+		t.Error("a second run within the window was allowed")
+	}
+	if !k.claim(keyedTry(3, "k", 19*time.Second+1), window) {
+		t.Error("a run after the window was not allowed")
+	}
+}
+
+// TestKeysForget gives a key free that its holder never used, and keeps one that was run. The holder may have
+// been answered before: then no other table knows it.
+func TestKeysForget(t *testing.T) {
+	k := newKeyTable(1 << 20)
+	a, b := keyedTry(1, "k", 0), keyedTry(2, "k", 0)
+	a.answered = true
+	k.keep(a, time.Minute)
+	k.forget(a.id)
+	if k.find(keyID{1, "k"}, 0) != nil || len(k.entries) != 0 || len(k.holders) != 0 {
+		t.Error("a forgotten key was found")
+	}
+	k.keep(a, time.Minute)
+	k.keep(b, time.Minute) // the entry goes to the newer try
+	k.forget(a.id)
+	if k.find(keyID{1, "k"}, 0) != b {
+		t.Error("the key was taken from another holder")
+	}
+	k.claim(b, window)
+	k.forget(b.id)
+	if k.find(keyID{1, "k"}, 0) != b || k.claim(keyedTry(3, "k", 0), window) {
+		t.Error("a try that was run was forgotten")
+	}
+}
+
+// TestKeysResults gives up the oldest results over the limit, but not what they were the results of.
+func TestKeysResults(t *testing.T) {
+	k := newKeyTable(25)
+	tries := map[string]*try{}
+	for i, key := range []string{"a", "b", "c"} {
+		r := keyedTry(i+1, key, time.Duration(i)*time.Second)
+		tries[key] = r
+		k.keep(r, window)
+		k.claim(r, window)
+		k.store(r, make([]byte, 10))
+	}
+	if tries["a"].stored || !tries["b"].stored || !tries["c"].stored || k.bytes != 20 || k.dropped != 1 {
+		t.Errorf("%d bytes kept, %d dropped", k.bytes, k.dropped)
+	}
+	if k.claim(keyedTry(9, "a", 0), window) {
+		t.Error("a request ran again since its result was given up")
+	}
+	stranger := keyedTry(10, "z", 0)
+	k.store(stranger, make([]byte, 5))
+	if stranger.stored {
+		t.Error("a result was kept that nothing can find")
+	}
+	k.sweep(window+time.Second, 0)
+	if len(k.entries) != 2 || k.bytes != 20 {
+		t.Errorf("%d entries, %d bytes after the first ran out", len(k.entries), k.bytes)
+	}
+	k.sweep(window+3*time.Second, 0)
+	if len(k.entries) != 0 || len(k.holders) != 0 || len(k.results) != 0 || k.bytes != 0 {
+		t.Errorf("%d entries, %d holders, %d results, %d bytes after all ran out", len(k.entries), len(k.holders), len(k.results), k.bytes)
+	}
+}
+
+// TestKeysModel makes sure with random steps that no request is run twice within its window, and that the
+// table holds nothing for ever.
+func TestKeysModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKeyTable(200)
+		now, ids := time.Duration(0), 0
+		ran := map[string]time.Duration{} // arrival of the latest run
+		var tries []*try
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				ids++
+				tries = append(tries, keyedTry(ids, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key"), now))
+				k.keep(tries[len(tries)-1], now+window)
+			},
+			"run": func(t *rapid.T) {
+				if len(tries) == 0 {
+					t.Skip()
+				}
+				r := rapid.SampledFrom(tries).Draw(t, "try")
+				last, before := ran[r.key.key]
+				allowed := k.claim(r, window)
+				if again := r.state != unrun; before && !again && (r.arrived <= last+window) == allowed {
+					t.Fatalf("run of a try that arrived %v after the last that ran: %t", r.arrived-last, allowed)
+				}
+				if allowed && r.state == unrun {
+					ran[r.key.key] = r.arrived
+					r.state = done
+					k.store(r, make([]byte, 90))
+				}
+			},
+			"forget": func(t *rapid.T) {
+				if len(tries) > 0 {
+					k.forget(rapid.SampledFrom(tries).Draw(t, "try").id)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now += time.Duration(rapid.Int64Range(0, int64(window)).Draw(t, "time"))
+				k.sweep(now, 0)
+				tries = nil // older tries are answered long since
+			},
+			"": func(t *rapid.T) {
+				if k.bytes > 200 || len(k.entries) > 2 || len(k.holders) > 2 {
+					t.Fatalf("%d bytes, %d entries, %d holders", k.bytes, len(k.entries), len(k.holders))
+				}
+			},
+		})
+	})
+}
--- a/server/log.go
+++ b/server/log.go
@@ -12,6 +12,9 @@
 // logQueue is how many lines may wait to be written.
 const logQueue = 1024
 
+// sameLines is how often a second the same message is logged.
+const sameLines = 10
+
 // asyncWriter hands lines to a goroutine of its own, so that a reader of the log that stands still never
 // blocks the loop. Lines that find no room are dropped and counted.
 type asyncWriter struct {
@@ -45,7 +48,9 @@
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoder.EncodeDuration = zapcore.MillisDurationEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.AddSync(w), zap.InfoLevel))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.AddSync(w), zap.InfoLevel)
+	// A trouble that repeats is told a few times a second; the counters have it in full.
+	log := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, sameLines, 0))
 	return log, func() {
 		if n := w.dropped.Load(); n > 0 {
 			log.Warn("log lines dropped", zap.Uint64("lines", n))
--- /dev/null
+++ b/server/log_test.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"tillerusher/internal/testkit"
+)
+
+// stuck is a log that nobody reads.
+type stuck chan bool
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s
+	return len(p), nil
+}
+
+// TestLogNeverBlocks fills a log that nobody reads: neither its lines nor its end may hold up who writes them.
+func TestLogNeverBlocks(t *testing.T) {
+	to := make(stuck)
+	defer close(to)
+	log, flush := NewLogger(to)
+	returned := make(chan bool)
+	go func() {
+		for i := range 10 * logQueue {
+			log.Info(strings.Repeat("x", i%100))
+		}
+		flush()
+		close(returned)
+	}()
+	select {
+	case <-returned:
+	case <-time.After(testkit.Patience):
+		t.Fatal("the log blocked")
+	}
+}
+
+// TestLogFlush has all lines out before the end, and repeated ones only a few times.
+func TestLogFlush(t *testing.T) {
+	var out bytes.Buffer
+	log, flush := NewLogger(&out)
+	for range 500 {
+		log.Warn("again")
+	}
+	log.Info("last")
+	flush()
+	if n := strings.Count(out.String(), "again"); n == 0 || n > 100 || !strings.Contains(out.String(), `"msg":"last"`) {
+		t.Errorf("%d repeated lines in %q", n, out.String())
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -33,6 +33,8 @@
 	windowSlack = 100 * time.Millisecond
 	// resultPart is the part of the memory that kept results may take.
 	resultPart = 8
+	// requestPart is the part of the memory that requests may take which are not answered.
+	requestPart = 8
 	// keySweep is the time between two looks for entries that ran out.
 	keySweep = time.Second
 	// The limits of the gateways' protocol; the parameters of a request are far smaller than theirs.
@@ -71,7 +73,8 @@
 
 	hint               string
 	healthy, fromStore bool
-	idle               time.Duration
+	idle               time.Duration // what the module set, 0 = nothing yet
+	idleScan           *loop.Timer
 	gauges             tillerusher.Gauges
 	gaugesAt           time.Time
 	draining           bool
@@ -93,8 +96,9 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, told: told, log: log, loop: l, clock: newClock(l.Now()),
-		protocol: fastcgi.New(fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: maxBody}),
-		classes:  index(told.Classes), tenants: index(told.Tenants),
+		protocol: fastcgi.New(fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: maxBody,
+			Memory: cfg.Limits.MemoryMB << 20 / requestPart}),
+		classes: index(told.Classes), tenants: index(told.Tenants),
 		gateways: map[*gateway]bool{}, tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
 		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart)}
 	for _, c := range told.Module.Classes {
@@ -126,7 +130,7 @@
 	defer s.Close()
 	s.link = interp.Dial(s.loop, s.cfg.Interpreter, s)
 	s.loop.After(keySweep, s.sweepKeys)
-	s.closeIdle()
+	s.scanIdle()
 	s.log.Info("listening", zap.String("name", s.cfg.Name), zap.Stringer("address", s.cfg.Listen))
 	err := s.loop.Run(s.settle)
 	s.report("exit")
