--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -74,9 +74,12 @@
 		g.Write(testkit.Lookup("").Records(1))
 		return g.Answer(1).Header.Get("Server-Hint") != ""
 	})
-	g.Write(testkit.Health(false).Records(1))
-	if a := g.Answer(1); a.Status != 200 || a.Header.Get("Server-Hint") == "" {
-		t.Errorf("health check %+v", a)
+	flawed := testkit.Lookup(strings.Repeat("b", 2049))
+	for _, r := range []testkit.Request{testkit.Health(false), flawed, testkit.Lookup("").With("Account", "")} {
+		g.Write(r.Records(1))
+		if a := g.Answer(1); a.Header.Get("Server-Hint") == "" {
+			t.Errorf("answer without the hint %+v", a)
+		}
 	}
 	if got := n.Report(); got != "announce n3 true" {
 		t.Errorf("second report %q", got)
@@ -107,6 +110,28 @@
 	n.WaitCounter("reused", 2)
 }
 
+// TestRefusedFreesKey has a keyed request turned away from the hold as its time runs out: it never ran, so a
+// further try of it counts as new and is run.
+func TestRefusedFreesKey(t *testing.T) {
+	n := start(t, func(it *testkit.Interpreter) { it.Busy(1) })
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("").Records(1), testkit.Lookup("").Records(2)) // one a core
+	runs := n.WaitApplied(2)
+	waiting := testkit.Reserve(7, "x").With("Received-At", strconv.FormatInt(time.Now().Add(-5900*time.Millisecond).UnixMilli(), 10))
+	g.Write(waiting.Records(3))
+	if a := g.Answer(3); a.Status != 503 || a.Header.Get("Back-Off-Ms") == "" {
+		t.Fatalf("answer %+v", a)
+	}
+	g.Write(testkit.Reserve(7, "x").With("Attempt-Again", "1").Records(4))
+	for _, run := range runs {
+		n.End(run.ID, "OK", nil)
+	}
+	n.End(n.WaitApplied(3)[2].ID, "OK", []byte("new"))
+	if a := g.Answer(4); a.Status != 200 || string(a.Body) != "new" {
+		t.Errorf("answer to the further try %+v", a)
+	}
+}
+
 // TestFailedRun answers a request whose run failed, and never runs another try of it.
 func TestFailedRun(t *testing.T) {
 	n := start(t, nil)
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -193,10 +193,10 @@
 func (s *Session) reject(id uint16, keep bool, f front.Flaw, status byte) {
 	s.out.Write(appendEnd(s.buf[:0], id, 1, status))
 	s.finished = s.finished || !keep
-	s.handler.Flawed(f)
+	s.handler.Rejected(f)
 }
 
-// complete hands over a request whose last byte came, or answers one that can't be handed over.
+// complete hands over a request whose last byte came, or what is wrong with it.
 func (s *Session) complete(id uint16, q *request) {
 	q.handed = true
 	r := front.Request{Body: q.body, Fields: make(map[string]string, 16)}
@@ -208,12 +208,7 @@
 	}
 	q.params = nil
 	if q.flawed {
-		a := front.Answer{Status: 400, Overloaded: q.flaw == front.TooMany}
-		if q.flaw == front.TooLarge {
-			a.Status = 413
-		}
-		s.handler.Flawed(q.flaw)
-		s.Answer(front.Stream(id), a)
+		s.handler.Flawed(s, front.Stream(id), q.flaw)
 		return
 	}
 	s.handler.Request(s, front.Stream(id), r)
--- a/internal/fastcgi/session_test.go
+++ b/internal/fastcgi/session_test.go
@@ -48,7 +48,13 @@
 
 func (p *peer) Request(_ front.Session, id front.Stream, r front.Request) { p.got[id] = r }
 func (p *peer) Aborted(_ front.Session, id front.Stream)                  { p.aborted = append(p.aborted, id) }
-func (p *peer) Flawed(f front.Flaw)                                       { p.flaws = append(p.flaws, f) }
+func (p *peer) Rejected(f front.Flaw)                                     { p.flaws = append(p.flaws, f) }
+
+// Flawed answers as a server would.
+func (p *peer) Flawed(s front.Session, id front.Stream, f front.Flaw) {
+	p.flaws = append(p.flaws, f)
+	s.Answer(id, front.Answer{Status: map[front.Flaw]int{front.TooLarge: 413, front.Malformed: 400}[f], Overloaded: f == front.TooMany})
+}
 
 // feed sends bytes to the session.
 func (p *peer) feed(parts ...[]byte) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,8 +40,10 @@
 	Request(s Session, id Stream, r Request)
 	// Aborted says that the gateway gave up an open request, which is still owed its Answer.
 	Aborted(s Session, id Stream)
-	// Flawed says that the session itself answered a request that it could not hand over.
-	Flawed(f Flaw)
+	// Flawed says that a request came in whole but can't be handed over; it is owed its Answer all the same.
+	Flawed(s Session, id Stream, f Flaw)
+	// Rejected says that the session itself turned a request away at its first record.
+	Rejected(f Flaw)
 }
 
 // Output takes bytes for the peer; what one round writes is sent together.
--- a/server/actions.go
+++ b/server/actions.go
@@ -12,10 +12,11 @@
 
 // The statuses of answers.
 const (
-	statusServed  = 200
-	statusInvalid = 400
-	statusFailed  = 500
-	statusRefused = 503
+	statusServed   = 200
+	statusInvalid  = 400
+	statusTooLarge = 413
+	statusFailed   = 500
+	statusRefused  = 503
 )
 
 // actions carries out what the module decides.
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -104,7 +104,17 @@
 }
 
 // Flawed implements front.Handler.
-func (g *gateway) Flawed(f front.Flaw) {
+func (g *gateway) Flawed(_ front.Session, id front.Stream, f front.Flaw) {
+	g.Rejected(f)
+	a := front.Answer{Status: statusInvalid, Overloaded: f == front.TooMany}
+	if f == front.TooLarge {
+		a.Status = statusTooLarge
+	}
+	g.answer(id, a)
+}
+
+// Rejected implements front.Handler.
+func (g *gateway) Rejected(f front.Flaw) {
 	c := &g.server.count
 	switch f {
 	case front.TooLarge:
