Refuse at once with a time to come back; find fewer false stalls; read gauges at timers

In a read of the module: a refusal to a tenant over its slice told no time to come back (stayAway), and a held request past its use waited for the next free core before it was answered (best).

The server now reads the gauges when a timer of the module fires, not up to 50 ms before (server/timer.go).

--- a/policy.go
+++ b/policy.go
@@ -26,8 +26,9 @@
 	// memoryPart is how much of the memory is used; the rest covers requests read before the next decision.
 	memoryPart = 0.92
 	// stallRuns is how many expected ends of runs or of their parts must be missing in a row before the work
-	// counts as stalled: runs slow while much is read, and ends bunch, so fewer told false stalls.
-	stallRuns = 24.0
+	// counts as stalled. Servers run up to 9.3 times slower for a while and ends bunch: what is told of fewer
+	// missing ends is mostly a slow server, whose work a false stall throws away.
+	stallRuns = 60.0
 	// answerTicks is how many ticks before its due time a request is answered.
 	answerTicks = 2
 )
@@ -456,14 +457,15 @@
 	in.dismiss(r)
 }
 
-// stayAway is the advice that goes with a refusal: the longest while nothing can be served here, not even a
-// tenant within its slice. Else a tenant over its slice gets none: in a crowded fleet the advice would leave
-// the others' requests without a willing server.
+// stayAway is the advice that goes with every refusal: the longest while nothing can be served here, not even
+// a tenant within its slice. Else a tenant over its slice is told when its rate will be back at its threshold
+// if it sends nothing: the estimate decays by λ, and longer advice would keep others' requests away too.
 func (in *Instance) stayAway(r *request) time.Duration {
 	if in.stalled || in.draining || r.excess <= 1 || in.stormy() {
 		return in.set.RetryAfter
 	}
-	return 0
+	back := time.Duration(math.Log(r.excess) / in.lambda * float64(time.Second))
+	return min(max(back, in.set.Tick), in.set.RetryAfter)
 }
 
 // stormy tells that reading has become the work: most of what arrives is tried again despite refusals, or
@@ -719,9 +721,13 @@
 func (in *Instance) say() {
 	wait := (in.predictedWait(1) + in.unread) / in.longestAim.Seconds()
 	in.unread *= 1 - learnPart // a server that gets nothing to read has no backlog
+	least := 0.5
+	if in.unread > in.longestAim.Seconds()/4 {
+		least = 0 // it can't even read what comes: whatever more came would be late when it is read
+	}
 	switch {
 	case in.busy >= busyFull && wait > 0.1:
-		in.weight = max(in.weight*0.96, 0.5)
+		in.weight = max(in.weight*0.96, least)
 	case wait < 0.05:
 		in.weight = min(in.weight+0.02, 1)
 	}
@@ -768,6 +774,7 @@
 	if now+in.margin() >= in.nextDue {
 		in.sweep()
 	}
+	in.giveUp()
 	in.startHeld()
 	in.placeCalls()
 	clear(in.unrun)
@@ -837,21 +844,39 @@
 	}
 }
 
+// giveUp turns away what waits in the hold and can't be useful any more, at once and not only when a core is
+// free: its caller may still be served elsewhere.
+func (in *Instance) giveUp() {
+	for i := 0; i < len(in.hold); i++ {
+		if in.hopeless(in.hold[i]) {
+			in.answer(in.hold[i])
+			i--
+		}
+	}
+}
+
+// tardy tells whether a run begun now would miss the time of the full worth.
+func (in *Instance) tardy(r *request) bool { return in.now+in.ownTime(r) > r.useful }
+
+// ownTime is how long a run of the request is expected to take.
+func (in *Instance) ownTime(r *request) time.Duration {
+	return time.Duration(in.classes[r.class].wall * float64(time.Second))
+}
+
+// hopeless tells whether a run begun now would earn nothing, or little while others wait for the cores.
+func (in *Instance) hopeless(r *request) bool {
+	late := in.set.Classes[r.class].LateWorth
+	return in.tardy(r) && (in.busy >= busyFull || late == 0 || in.now+in.ownTime(r) > r.due)
+}
+
 // best picks the next to run: first those that can still be on time, among them those within their tenant's
-// slice, then the one with the least time left; it turns away those that can't be useful any more.
+// slice, then the one with the least time left.
 func (in *Instance) best() *request {
 	var best *request
 	bestRank, least := 0, 0.0
-	for i := 0; i < len(in.hold); i++ {
-		r := in.hold[i]
-		own := time.Duration(in.classes[r.class].wall * float64(time.Second))
+	for _, r := range in.hold {
 		rank := r.rank
-		if in.now+own > r.useful {
-			if in.busy >= busyFull || in.set.Classes[r.class].LateWorth == 0 || in.now+own > r.due {
-				in.answer(r)
-				i--
-				continue
-			}
+		if in.tardy(r) {
 			rank = 2
 		}
 		urgency := float64(r.useful-in.now) / max(in.set.Classes[r.class].Worth, 1e-3)
--- a/server/actions.go
+++ b/server/actions.go
@@ -134,13 +134,7 @@
 
 // After implements tillerusher.Actions.
 func (a actions) After(wait time.Duration, token uint32) {
-	a.loop.After(wait, func() {
-		gauges := tillerusher.Gauges{Busy: -1}
-		if a.loop.Now().Sub(a.gaugesAt) < gaugeStale {
-			gauges = a.gauges
-		}
-		a.module.Timer(a.event(), token, gauges)
-	})
+	a.loop.After(wait, func() { a.ring(token) })
 }
 
 // Log implements tillerusher.Actions.
--- a/server/health.go
+++ b/server/health.go
@@ -38,22 +38,6 @@
 	g.answer(id, front.Answer{Status: status})
 }
 
-// gaugePace is the time between two readings of the gauges, and gaugeStale how long one is good for.
-const (
-	gaugePace  = 50 * time.Millisecond
-	gaugeStale = 5 * gaugePace
-)
-
-// readGauges asks the interpreter for its gauges, and goes on doing so.
-func (s *Server) readGauges() {
-	s.link.Top(s.loop.Now(), func(values []float64, ok bool) {
-		if ok {
-			s.gauges, s.gaugesAt = s.told.Read(values), s.loop.Now()
-		}
-	})
-	s.loop.After(gaugePace, s.readGauges)
-}
-
 // announcePace keeps reports well inside the 3 s after which a silent server leaves the list.
 const announcePace = time.Second
 
--- a/server/server.go
+++ b/server/server.go
@@ -75,8 +75,6 @@
 	healthy, fromStore bool
 	idle               time.Duration // what the module set, 0 = nothing yet
 	idleScan           *loop.Timer
-	gauges             tillerusher.Gauges
-	gaugesAt           time.Time
 	draining           bool
 	count              counters
 }
@@ -196,7 +194,6 @@
 	}
 	s.module = module
 	s.event()
-	s.readGauges()
 	s.announce()
 }
 
