--- a/policy.go
+++ b/policy.go
@@ -458,13 +458,17 @@
 }
 
 // stayAway is the advice that goes with every refusal: the longest while nothing can be served here, not even
-// a tenant within its slice. Else a tenant over its slice is told when its rate will be back at its threshold
-// if it sends nothing: the estimate decays by λ, and longer advice would keep others' requests away too.
+// a tenant within its slice. Else it is the predicted wait, or for a tenant over its slice the time in which
+// its estimate decays to it, by λ: longer advice has all callers leave at once and come back at once.
 func (in *Instance) stayAway(r *request) time.Duration {
-	if in.stalled || in.draining || r.excess <= 1 || in.stormy() {
+	if in.stalled || in.draining || in.stormy() {
 		return in.set.RetryAfter
 	}
-	back := time.Duration(math.Log(r.excess) / in.lambda * float64(time.Second))
+	seconds := in.predictedWait(1)
+	if r.excess > 1 {
+		seconds = math.Log(r.excess) / in.lambda
+	}
+	back := time.Duration(seconds * float64(time.Second))
 	return min(max(back, in.set.Tick), in.set.RetryAfter)
 }
 
--- a/policy_test.go
+++ b/policy_test.go
@@ -199,14 +199,24 @@
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	s := testSettings()
 	in, _ := start(t, s)
+	in.classes[0].run, in.classes[0].held[0] = 0.5, 2 // half a second of work on each of two cores
 	for _, c := range []struct {
 		excess float64
 		want   time.Duration
-	}{{0, s.RetryAfter}, {1, s.RetryAfter}, {1.0001, s.Tick}, {1e6, s.RetryAfter}} {
+	}{{0, 500 * ms}, {1, 500 * ms}, {1.0001, s.Tick}, {1e6, s.RetryAfter}} {
 		if got := in.stayAway(&request{excess: c.excess}); got != c.want {
 			t.Errorf("%v times its slice: %v, want %v", c.excess, got, c.want)
 		}
 	}
+	in.classes[0].held[0] = 0
+	if got := in.stayAway(&request{}); got != s.Tick {
+		t.Errorf("with no wait predicted: %v, want a tick", got)
+	}
+	in.draining = true
+	if got := in.stayAway(&request{}); got != s.RetryAfter {
+		t.Errorf("while draining: %v, want the longest", got)
+	}
+	in.draining = false
 	var e estimate
 	now := time.Duration(0)
 	for range 40 {
