--- a/policy.go
+++ b/policy.go
@@ -469,7 +469,7 @@
 		seconds = math.Log(r.excess) / in.lambda
 	}
 	back := time.Duration(seconds * float64(time.Second))
-	return min(max(back, in.set.Tick), in.set.RetryAfter)
+	return min(max(back, glance), in.set.RetryAfter) // no sooner than its next look at the gauges
 }
 
 // stormy tells that reading has become the work: most of what arrives is tried again despite refusals, or
