--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -62,6 +62,7 @@
 	partial []byte
 	last    uint64 // number of the last notice read
 	synced  bool   // all missed notices were read
+	syncing bool   // the sign of that was asked for
 	banner  bool
 	up      bool
 	runs    map[string]*run
@@ -88,7 +89,9 @@
 
 // sync asks for a sign that the notices sent after BANNER were read.
 func (l *Link) sync(now time.Time) {
+	l.syncing = true
 	l.ask(opTop, now, asked{gauges: func(_ []float64, ok bool) {
+		l.syncing = false
 		if ok {
 			l.resume()
 		}
@@ -224,7 +227,7 @@
 // Tick gives up questions that stayed unanswered; the sign that the link is in step is asked for again.
 func (l *Link) Tick(now time.Time) {
 	l.expire(func(a asked) bool { return !now.Before(a.due) })
-	if l.banner && !l.synced && len(l.asks) == 0 {
+	if l.banner && !l.synced && !l.syncing {
 		l.sync(now)
 	}
 }
--- /dev/null
+++ b/internal/interp/model_test.go
@@ -0,0 +1,160 @@
+package interp
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// far is an interpreter at the other end of a line that can be cut at any time, with all that is on its way.
+type far struct {
+	t         *rapid.T
+	link      *Link
+	connected bool
+	commands  []map[string]any // on their way to it
+	lines     []string         // on their way from it
+	notices   []string         // all it ever told, by number
+	started   map[string]int
+	running   []string
+	heard     map[string]int
+}
+
+func (f *far) Up(bool, time.Duration)           {}
+func (f *far) Ended(id string, _ End, _ []byte) { f.heard[id]++ }
+func (f *far) Trouble(text string, err error)   { f.t.Fatalf("%s: %v", text, err) }
+
+// write takes commands onto the line.
+func (f *far) write(p []byte) {
+	for line := range strings.SplitSeq(strings.TrimSpace(string(p)), "\n") {
+		var c map[string]any
+		if err := json.Unmarshal([]byte(line), &c); err != nil {
+			f.t.Fatal(err)
+		}
+		f.commands = append(f.commands, c)
+	}
+}
+
+// connect makes a new connection in place of any other.
+func (f *far) connect() {
+	f.commands, f.lines, f.connected = nil, nil, true
+	f.link.Connected(f.write, start)
+}
+
+// cut loses all that is on its way.
+func (f *far) cut() {
+	f.commands, f.lines, f.connected = nil, nil, false
+	f.link.Lost()
+}
+
+// take carries out the next command.
+func (f *far) take() bool {
+	if len(f.commands) == 0 {
+		return false
+	}
+	c := f.commands[0]
+	f.commands = f.commands[1:]
+	id, _ := c["id"].(string)
+	switch c["op"] {
+	case "CONNECT":
+		f.lines = append(f.lines, `{"op":"BANNER","end":"WARM","ms":1}`)
+		f.lines = append(f.lines, f.notices[int(c["seq"].(float64)):]...)
+	case "APPLY":
+		for _, r := range f.running {
+			if r == id {
+				return true
+			}
+		}
+		if f.started[id]++; f.started[id] > 1 {
+			f.t.Fatalf("run %s was begun twice", id)
+		}
+		f.running = append(f.running, id)
+	case "BREAK":
+		for i, r := range f.running {
+			if r == id {
+				f.end(i)
+				break
+			}
+		}
+	case "TOP":
+		f.lines = append(f.lines, fmt.Sprintf(`{"op":"TOPS","tag":%q,"values":[]}`, c["tag"]))
+	}
+	return true
+}
+
+// end ends a run.
+func (f *far) end(i int) {
+	n := fmt.Sprintf(`{"op":"VALUE","seq":%d,"id":%q,"end":"OK","ms":1,"body":""}`, len(f.notices)+1, f.running[i])
+	f.running = append(f.running[:i:i], f.running[i+1:]...)
+	f.notices = append(f.notices, n)
+	if f.connected {
+		f.lines = append(f.lines, n)
+	}
+}
+
+// deliver hands the next line to the link.
+func (f *far) deliver() bool {
+	if len(f.lines) == 0 {
+		return false
+	}
+	line := f.lines[0]
+	f.lines = f.lines[1:]
+	if err := f.link.Feed([]byte(line + "\n")); err != nil {
+		f.t.Fatal(err)
+	}
+	return true
+}
+
+// TestModel cuts the line at random with commands and notices on their way: no run is begun twice, and the end
+// of each is told once.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &far{t: t, started: map[string]int{}, heard: map[string]int{}}
+		f.link = NewLink(f)
+		asked, withdrawn := 0, map[string]bool{}
+		pick := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(1, max(asked, 1)).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"apply": func(*rapid.T) {
+				asked++
+				f.link.Apply(fmt.Sprint(asked), "look", nil)
+			},
+			"withdraw": func(t *rapid.T) {
+				id := pick(t)
+				withdrawn[id] = f.link.Withdraw(id) || withdrawn[id]
+			},
+			"break":   func(t *rapid.T) { f.link.Break(pick(t)) },
+			"cut":     func(*rapid.T) { f.cut() },
+			"connect": func(*rapid.T) { f.connect() },
+			"take":    func(*rapid.T) { f.take() },
+			"deliver": func(*rapid.T) { f.deliver() },
+			"end": func(t *rapid.T) {
+				if n := len(f.running); n > 0 {
+					f.end(rapid.IntRange(0, n-1).Draw(t, "run"))
+				}
+			},
+		})
+		// In the end the line stays up and all runs end.
+		f.connect()
+		for f.take() || f.deliver() || len(f.running) > 0 {
+			if len(f.commands) == 0 && len(f.running) > 0 {
+				f.end(0)
+			}
+		}
+		for n := range asked {
+			id := fmt.Sprint(n + 1)
+			want := 1
+			if withdrawn[id] {
+				want = 0
+			}
+			if f.started[id] != want || f.heard[id] != want {
+				t.Fatalf("run %s: withdrawn %t, begun %d times, its end told %d times", id, withdrawn[id], f.started[id], f.heard[id])
+			}
+		}
+		if f.link.Runs() != 0 {
+			t.Fatalf("%d runs are left", f.link.Runs())
+		}
+	})
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -26,6 +26,7 @@
 	handler    ConnHandler
 	events     uint32
 	connecting bool
+	answered   bool // the outcome of the call is known
 	closed     bool
 	dirty      bool
 	closing    bool // close once all is sent
@@ -86,7 +87,7 @@
 		if err == nil && code != 0 {
 			err = unix.Errno(code)
 		}
-		c.err = err
+		c.err, c.answered = err, true
 		return
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
@@ -124,6 +125,8 @@
 	switch {
 	case c.closed:
 		return
+	case c.connecting && !c.answered:
+		return
 	case c.connecting && err == nil:
 		c.connecting = false
 		c.rewatch()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	maxEvents = 256       // ready descriptors of one round
-	readSize  = 32 << 10  // bytes read from one connection in a round
-	highWater = 256 << 10 // unsent bytes over which a connection is not read
+	maxEvents = 256      // ready descriptors of one round
+	readSize  = 32 << 10 // bytes read from one connection in a round
+	highWater = 64 << 10 // unsent bytes over which a connection is not read
 )
 
 // source is what stands behind a registered descriptor.
