--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -31,15 +31,18 @@
 type run struct {
 	id, class string
 	body      []byte
-	sent      bool // APPLY was written on some link
-	current   bool // APPLY was written on this link
-	breaking  bool // the run is to be stopped
-	broken    bool // BREAK was written on this link
+	sent      bool   // APPLY was written on some link
+	current   bool   // APPLY was written on this link, or need not be
+	taken     bool   // the interpreter has read an APPLY
+	tag       uint64 // the last question asked before APPLY on this link
+	breaking  bool   // the run is to be stopped
+	broken    bool   // BREAK was written on this link
 }
 
 // asked is a TOP or SMOKE without its answer.
 type asked struct {
 	tag    string
+	number uint64 // of the tag
 	due    time.Time
 	gauges func(values []float64, ok bool)
 	smoke  func(ok bool)
@@ -55,7 +58,9 @@
 // Runs go on while no connection stands, so nothing can be said of a run then. After a connect the notices
 // that were missed come first; the answer to a TOP sent behind CONNECT tells that all of them were read. Only
 // then is what is still open asked for again: a run that is on its way is left alone by that, one that the
-// interpreter never heard of starts, and one that has ended is known to have ended.
+// interpreter never heard of starts, and one that has ended is known to have ended. One that ends at that very
+// moment is over, and asking for it starts nothing; still, that is only done for runs of which it is not
+// certain that the interpreter heard: it reads commands in order, so an answer to a later question tells.
 type Link struct {
 	handler Handler
 	send    func(p []byte) // nil while no connection stands
@@ -102,7 +107,7 @@
 func (l *Link) Lost() {
 	l.send, l.partial, l.synced, l.banner = nil, nil, false, false
 	for _, r := range l.runs {
-		r.current, r.broken = false, false
+		r.current, r.broken = r.taken, false
 	}
 	l.expire(func(asked) bool { return true })
 }
@@ -152,7 +157,7 @@
 		} else {
 			l.Count.Applied++
 		}
-		r.sent, r.current = true, true
+		r.sent, r.current, r.tag = true, true, l.tags
 		l.write(command{Op: opApply, ID: r.id, Class: r.class, Body: &r.body})
 	}
 	if r.breaking && !r.broken {
@@ -193,6 +198,7 @@
 		return
 	}
 	l.tags++
+	a.number = l.tags
 	a.tag, a.due = strconv.FormatUint(l.tags, 10), now.Add(Timeout)
 	l.asks = append(l.asks, a)
 	l.write(command{Op: op, Tag: a.tag})
@@ -326,5 +332,8 @@
 	}
 	a := l.asks[i]
 	l.asks = slices.Delete(l.asks, i, i+1)
+	for _, r := range l.runs {
+		r.taken = r.taken || r.current && r.tag < a.number
+	}
 	a.answer(n.Values, n.Op == opTops || n.End == string(EndOK))
 }
--- a/internal/interp/link_test.go
+++ b/internal/interp/link_test.go
@@ -156,6 +156,21 @@
 	e.expect(nil, []string{`going OK ""`})
 }
 
+// TestTakenIsNotAskedAgain loses the link after the interpreter has answered a question asked behind an APPLY:
+// it has read that, so the run is left alone on the next link, and only its stop is asked for again.
+func TestTakenIsNotAskedAgain(t *testing.T) {
+	e := newEar(t)
+	e.connect()
+	e.link.Apply("taken", "look", nil)
+	e.link.Top(start, func([]float64, bool) {})
+	e.link.Apply("unsure", "look", nil)
+	e.say(fmt.Sprintf(`{"op":"TOPS","tag":%q,"values":[]}`, e.tags["TOP"]))
+	e.link.Break("taken")
+	e.sent = nil
+	e.connect()
+	e.expect([]string{"CONNECT 0", "BREAK taken", `APPLY unsure look ""`}, []string{upWarm})
+}
+
 // TestWithdraw takes back a run that the interpreter never heard of, and no other.
 func TestWithdraw(t *testing.T) {
 	e := newEar(t)
