Count the window of a keyed run by the Unix clock itself

In a read of the code: the table of keys kept the end of a run's window by the module's clock (server/keys.go, claim). Where the system's clock is set back that one runs ahead, and a request could have run again within its window as Received-At counts it. The table now compares the stamps; TestKeysClockSetBack holds it. The module's own entries stay on its clock.

--- a/server/keys.go
+++ b/server/keys.go
@@ -17,7 +17,7 @@
 	holder   *try          // the try that the module keeps, or nil
 	until    time.Duration // the module keeps it for arrivals until then
 	ran      *try          // the try that was run, or nil
-	ranUntil time.Duration // arrivals until then must not be run again
+	ranUntil time.Time     // arrivals until then, by the Unix clock, must not be run again
 }
 
 // stored is a result that is kept for repeats, in the order of keeping.
@@ -45,14 +45,14 @@
 
 // find returns the try that a new arrival repeats, or nil: the one kept, or, where the module's entry ran out
 // since the arrival, the one that was run.
-func (k *keyTable) find(id keyID, arrived time.Duration) *try {
-	e := k.entries[id]
+func (k *keyTable) find(t *try) *try {
+	e := k.entries[t.key]
 	switch {
 	case e == nil:
 		return nil
-	case e.holder != nil && arrived <= e.until:
+	case e.holder != nil && t.arrived <= e.until:
 		return e.holder
-	case e.ran != nil && arrived <= e.ranUntil:
+	case k.hasRun(t):
 		return e.ran
 	}
 	return nil
@@ -102,7 +102,7 @@
 // hasRun tells whether a run stands for the request of a try: it, or another within the window.
 func (k *keyTable) hasRun(t *try) bool {
 	e := k.entries[t.key]
-	return e != nil && e.ran != nil && t.arrived <= e.ranUntil
+	return e != nil && e.ran != nil && !t.stamp.After(e.ranUntil)
 }
 
 // claim notes that the try is run now. It returns false where another try of the request ran within its
@@ -112,7 +112,7 @@
 	if e.ran != t && k.hasRun(t) {
 		return false
 	}
-	e.ran, e.ranUntil = t, t.arrived+window
+	e.ran, e.ranUntil = t, t.stamp.Add(window)
 	return true
 }
 
@@ -147,12 +147,12 @@
 
 // sweep forgets entries that no arrival can find any more. A request may lie unread for a while, so entries
 // outlast their time by the slack.
-func (k *keyTable) sweep(now, slack time.Duration) {
+func (k *keyTable) sweep(now time.Duration, unix time.Time, slack time.Duration) {
 	for id, e := range k.entries {
 		if e.holder != nil && now > e.until+slack {
 			k.unhold(e)
 		}
-		if e.ran != nil && now > e.ranUntil+slack {
+		if e.ran != nil && unix.After(e.ranUntil.Add(slack)) {
 			e.ran.expired, e.ran = true, nil
 		}
 		if e.holder == nil && e.ran == nil {
--- a/server/keys_test.go
+++ b/server/keys_test.go
@@ -10,9 +10,12 @@
 )
 
 func keyedTry(id int, key string, arrived time.Duration) *try {
-	return &try{id: tillerusher.RequestID(id), class: 1, keyed: true, once: true, key: keyID{1, key}, arrived: arrived}
+	return &try{id: tillerusher.RequestID(id), class: 1, keyed: true, once: true, key: keyID{1, key}, arrived: arrived, stamp: at(arrived)}
 }
 
+// at is a moment of the Unix clock.
+func at(d time.Duration) time.Time { return time.UnixMilli(0).Add(d) }
+
 const window = 18 * time.Second
 
 // TestKeysFind covers who is found under a key: the holder while it is kept, then the try that was run, for
@@ -21,13 +24,13 @@
 	k := newKeyTable(1 << 20)
 	a := keyedTry(1, "k", time.Second)
 	k.keep(a, 10*time.Second)
-	if k.find(keyID{1, "k"}, 10*time.Second) != a || k.find(keyID{0, "k"}, 0) != nil || k.find(keyID{1, "j"}, 0) != nil {
+	if k.find(keyedTry(99, "k", 10*time.Second)) != a || k.find(&try{key: keyID{0, "k"}}) != nil || k.find(keyedTry(99, "j", 0)) != nil {
 		t.Error("a kept try is found by its key and class alone")
 	}
-	if k.find(keyID{1, "k"}, 10*time.Second+1) != nil {
+	if k.find(keyedTry(99, "k", 10*time.Second+1)) != nil {
 		t.Error("an entry that ran out was found")
 	}
-	if !k.claim(a, window) || k.find(keyID{1, "k"}, 19*time.Second) != a || k.find(keyID{1, "k"}, 19*time.Second+1) != nil {
+	if !k.claim(a, window) || k.find(keyedTry(99, "k", 19*time.Second)) != a || k.find(keyedTry(99, "k", 19*time.Second+1)) != nil {
 		t.Error("a try that was run is found until its window is over")
 	}
 	if k.claim(keyedTry(2, "k", 19*time.Second), window) {
@@ -41,6 +44,20 @@
 	}
 }
 
+// TestKeysClockSetBack has the Unix clock set back by a minute after a run, while the module's goes on: the
+// window is one of the Unix clock.
+func TestKeysClockSetBack(t *testing.T) {
+	k := newKeyTable(1 << 20)
+	a := keyedTry(1, "k", time.Hour)
+	k.claim(a, window)
+	k.sweep(time.Hour+time.Minute, at(time.Hour), 0)
+	b := keyedTry(2, "k", time.Hour+time.Minute)
+	b.stamp = a.stamp.Add(time.Second)
+	if k.find(b) != a || k.claim(b, window) {
+		t.Error("a request ran again within its window")
+	}
+}
+
 // TestKeysForget gives a key free that its holder never used, and keeps one that was run. The holder may have
 // been answered before: then no other table knows it.
 func TestKeysForget(t *testing.T) {
@@ -49,18 +66,18 @@
 	a.answered = true
 	k.keep(a, time.Minute)
 	k.forget(a.id)
-	if k.find(keyID{1, "k"}, 0) != nil || len(k.entries) != 0 || len(k.holders) != 0 {
+	if k.find(keyedTry(99, "k", 0)) != nil || len(k.entries) != 0 || len(k.holders) != 0 {
 		t.Error("a forgotten key was found")
 	}
 	k.keep(a, time.Minute)
 	k.keep(b, time.Minute) // the entry goes to the newer try
 	k.forget(a.id)
-	if k.find(keyID{1, "k"}, 0) != b {
+	if k.find(keyedTry(99, "k", 0)) != b {
 		t.Error("the key was taken from another holder")
 	}
 	k.claim(b, window)
 	k.forget(b.id)
-	if k.find(keyID{1, "k"}, 0) != b || k.claim(keyedTry(3, "k", 0), window) {
+	if k.find(keyedTry(99, "k", 0)) != b || k.claim(keyedTry(3, "k", 0), window) {
 		t.Error("a try that was run was forgotten")
 	}
 }
@@ -87,11 +104,11 @@
 	if stranger.stored {
 		t.Error("a result was kept that nothing can find")
 	}
-	k.sweep(window+time.Second, 0)
+	k.sweep(window+time.Second, at(window+time.Second), 0)
 	if len(k.entries) != 2 || k.bytes != 20 {
 		t.Errorf("%d entries, %d bytes after the first ran out", len(k.entries), k.bytes)
 	}
-	k.sweep(window+3*time.Second, 0)
+	k.sweep(window+3*time.Second, at(window+3*time.Second), 0)
 	if len(k.entries) != 0 || len(k.holders) != 0 || len(k.results) != 0 || k.bytes != 0 {
 		t.Errorf("%d entries, %d holders, %d results, %d bytes after all ran out", len(k.entries), len(k.holders), len(k.results), k.bytes)
 	}
@@ -134,7 +151,7 @@
 			},
 			"pass": func(t *rapid.T) {
 				now += time.Duration(rapid.Int64Range(0, int64(window)).Draw(t, "time"))
-				k.sweep(now, 0)
+				k.sweep(now, at(now), 0)
 				tries = nil // older tries are answered long since
 			},
 			"": func(t *rapid.T) {
--- a/server/server.go
+++ b/server/server.go
@@ -232,7 +232,7 @@
 		s.count.retries++
 	}
 	if t.keyed {
-		if t.repeats = s.keys.find(t.key, t.arrived); t.repeats != nil {
+		if t.repeats = s.keys.find(t); t.repeats != nil {
 			s.count.repeats++
 			q.Repeats = t.repeats.id
 		}
@@ -342,7 +342,7 @@
 
 // sweepKeys forgets entries that ran out.
 func (s *Server) sweepKeys() {
-	s.keys.sweep(s.clock.read(s.loop.Now()), s.patience)
+	s.keys.sweep(s.clock.read(s.loop.Now()), s.loop.Now().Round(0), s.patience)
 	s.count.resultsDropped = s.keys.dropped
 	s.loop.After(keySweep, s.sweepKeys)
 }
--- a/server/try.go
+++ b/server/try.go
@@ -31,6 +31,7 @@
 	once     bool // it must not run twice
 	key      keyID
 	arrived  time.Duration // by the module's clock
+	stamp    time.Time     // Received-At
 	body     []byte
 	repeats  *try
 	answered bool // no answer is owed any more
@@ -137,8 +138,8 @@
 		return nil, q, f.err
 	}
 	// The time that a request lay unread counts: its caller waits since Received-At.
-	unix := s.loop.Now().Round(0)
-	q.Waited = max(unix.Sub(time.UnixMilli(int64(stamp))), 0)
+	t.stamp = time.UnixMilli(int64(stamp))
+	q.Waited = max(s.loop.Now().Round(0).Sub(t.stamp), 0)
 	t.arrived = now - q.Waited
 	return t, q, nil
 }
