--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -286,6 +286,7 @@
 		"strange account": {good.With("Account", "acme"), 400},
 		"no key":          {good.With("Once-Key", ""), 400},
 		"no footprint":    {good.With("Footprint-Kb", ""), 400},
+		"zero footprint":  {good.With("Footprint-Kb", "0"), 400},
 		"huge footprint":  {good.With("Footprint-Kb", "2000"), 400},
 		"not a number":    {good.With("Work-Estimate", "NaN"), 400},
 		"rank of 1":       {good.With("Priority-Rank", "1"), 400},
@@ -306,7 +307,7 @@
 	if a := g.Answer(2); a.Status != 200 {
 		t.Errorf("answer after all that %+v", a)
 	}
-	n.WaitCounter("invalid", 13)
+	n.WaitCounter("invalid", 14)
 	n.WaitCounter("too_large", 1)
 	n.WaitCounter("broken", 1)
 }
--- a/server/try.go
+++ b/server/try.go
@@ -43,8 +43,8 @@
 	waiters  []*try // repeats that wait for its run
 }
 
-// maxFootprint is what a request's memory stays under, in KB.
-const maxFootprint = 2000
+// A request's memory, in KB, is above 0 and stays under the most.
+const leastFootprint, maxFootprint = 1e-6, 2000
 
 // fields reads the fields of a request and keeps the first complaint.
 type fields struct {
@@ -110,7 +110,7 @@
 	q := tillerusher.Request{Class: class, Retry: r.Fields["attempt-again"] == "1",
 		Caller: int(f.number("Sent-By", 0, 1<<31, 0)),
 		Work:   time.Duration(f.number("Work-Estimate", 0, 1e9, 0) * float64(time.Millisecond)),
-		SizeKB: f.number("Footprint-Kb", 0, maxFootprint)}
+		SizeKB: f.number("Footprint-Kb", leastFootprint, maxFootprint)}
 	f.number("Priority-Rank", 0, 1, 0)
 	if len(s.tenants) > 0 {
 		account := f.text("Account")
