Split the server's requests from its rounds; test idle connections and checks

TestCloseIdle has connections closed as the module says and none with an open request; the check tests cover the module's bad setting too.

--- /dev/null
+++ b/server/requests.go
@@ -0,0 +1,160 @@
+package server
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"tillerusher"
+	"tillerusher/internal/front"
+	"tillerusher/internal/interp"
+)
+
+// request takes in a whole request.
+func (s *Server) request(g *gateway, id front.Stream, r front.Request) {
+	if r.Path == healthPath {
+		s.check(g, id, r)
+		return
+	}
+	s.count.requests++
+	now := s.event()
+	t, q, err := s.read(r, now)
+	switch {
+	case err == nil && s.byWire[t.wire] != nil:
+		err = errors.New("field Request-Id is that of an open request")
+	case err == nil && s.module == nil:
+		s.count.refused++
+		g.answer(id, front.Answer{Status: statusRefused}) // nothing can run yet
+		return
+	}
+	if err != nil {
+		s.count.invalid++
+		s.log.Debug("request not understood", zap.Error(err))
+		g.answer(id, front.Answer{Status: statusInvalid})
+		return
+	}
+	s.lastID++
+	t.id, q.ID, t.from, t.stream = s.lastID, s.lastID, g, id
+	if q.Retry {
+		s.count.retries++
+	}
+	if t.keyed {
+		if t.repeats = s.keys.find(t); t.repeats != nil {
+			s.count.repeats++
+			q.Repeats = t.repeats.id
+		}
+	}
+	s.tries[t.id], s.byWire[t.wire], g.tries[id] = t, t, t
+	s.module.Request(now, q)
+}
+
+// answer gives a try its final answer.
+func (s *Server) answer(t *try, a front.Answer) {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	delete(t.from.tries, t.stream)
+	switch a.Status {
+	case statusServed:
+		s.count.served++
+	case statusRefused:
+		s.count.refused++
+	default:
+		s.count.failed++
+	}
+	t.from.answer(t.stream, a)
+}
+
+// drop forgets a try that is answered and does not run.
+func (s *Server) drop(t *try) {
+	if t.answered && t.state != running {
+		delete(s.tries, t.id)
+		delete(s.byWire, t.wire)
+		t.body = nil
+	}
+}
+
+// Ended implements interp.Handler.
+func (s *Server) Ended(wire string, end interp.End, result []byte) {
+	t := s.byWire[wire]
+	if t == nil || t.state != running {
+		return
+	}
+	s.count.ended++
+	switch end {
+	case interp.EndOK:
+		t.state = done
+		if t.keyed {
+			s.keys.store(t, result)
+		}
+		s.answer(t, front.Answer{Status: statusServed, Body: result})
+		s.finish(t, tillerusher.OK, result)
+	case interp.EndStopped:
+		s.count.stopped++
+		s.over(t, tillerusher.Cancelled)
+	case interp.EndMoot:
+		s.count.moot++
+		s.over(t, tillerusher.Moot)
+	default:
+		s.count.errored++
+		s.over(t, tillerusher.Errored)
+	}
+}
+
+// over ends a run that made no result. The answer that may still be owed is a failure: whether anything was
+// done is not known.
+func (s *Server) over(t *try, o tillerusher.Outcome) {
+	t.state = broken
+	s.answer(t, front.Answer{Status: statusFailed})
+	s.finish(t, o, nil)
+}
+
+// finish tells the module how a run ended, and then those that waited for it.
+func (s *Server) finish(t *try, o tillerusher.Outcome, result []byte) {
+	s.module.Done(s.event(), t.id, o)
+	waiters := t.waiters
+	t.waiters = nil
+	for _, w := range waiters {
+		s.echoed(w, t.state == done, result)
+	}
+	s.drop(t)
+}
+
+// echo answers a repeat from the kept result of the try that was run.
+func (s *Server) echo(t, source *try) {
+	if source == nil || !source.stored {
+		s.echoed(t, false, nil)
+		return
+	}
+	s.echoed(t, true, source.result)
+}
+
+// echoed gives a repeat its outcome.
+func (s *Server) echoed(t *try, ok bool, result []byte) {
+	if t.answered {
+		return
+	}
+	outcome := tillerusher.Errored
+	if ok {
+		outcome = tillerusher.OK
+		s.count.reused++
+		s.answer(t, front.Answer{Status: statusServed, Body: result})
+	} else {
+		s.answer(t, front.Answer{Status: statusFailed})
+	}
+	s.module.Done(s.event(), t.id, outcome)
+	s.drop(t)
+}
+
+// sorted returns tries in the order of reading.
+func sorted(tries map[front.Stream]*try) []*try {
+	list := make([]*try, 0, len(tries))
+	for _, t := range tries {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *try) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tillerusher/internal/config"
+	"tillerusher/internal/settings"
+	"tillerusher/internal/testkit"
+)
+
+// testTold is what the test's settings say.
+func testTold(t *testing.T) *settings.Told {
+	t.Helper()
+	told, err := settings.Parse([]byte(testkit.Settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return told
+}
+
+// run starts a server with an interpreter, which serves when it returns, and drains it with the test.
+func run(t *testing.T) (*Server, *testkit.Interpreter) {
+	t.Helper()
+	it := testkit.NewInterpreter(t)
+	cfg := &config.Config{Name: "n3", Listen: netip.MustParseAddrPort(testkit.FreeAddr(t)),
+		Interpreter: netip.MustParseAddrPort(it.Addr()), Announce: netip.MustParseAddrPort("127.0.0.1:9"),
+		Stop: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, Settings: testTold(t)}
+	s, err := New(cfg, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	t.Cleanup(func() {
+		s.Drain()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	g := testkit.Dial(t, cfg.Listen.String())
+	defer g.Close()
+	testkit.Wait(t, "a healthy server", func() bool { return check(g, false) == 200 })
+	return s, it
+}
+
+// check asks for the server's health.
+func check(g *testkit.Gateway, full bool) int {
+	g.Write(testkit.Health(full).Records(1))
+	return g.Answer(1).Status
+}
+
+// do has the server's goroutine do something, and waits for it.
+func do(s *Server, step func()) {
+	done := make(chan bool)
+	s.loop.Post(func() {
+		step()
+		close(done)
+	})
+	<-done
+}
+
+// TestDeepCheck has a check do real work where the module does not have it answered from store: it is good
+// only when the work was done, and not waited for without end.
+func TestDeepCheck(t *testing.T) {
+	s, it := run(t)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	do(s, func() { s.fromStore = false })
+	if got := check(g, true); got != 200 {
+		t.Errorf("deep check of a server that works: %d", got)
+	}
+	it.Mute()
+	if got := check(g, true); got != 503 {
+		t.Errorf("deep check of a server that does not work: %d", got)
+	}
+	if got := check(g, false); got != 200 {
+		t.Errorf("shallow check: %d", got)
+	}
+	do(s, func() { actions{s}.Health(false, true) })
+	if got := check(g, false); got != 503 {
+		t.Errorf("check of a server that the module calls bad: %d", got)
+	}
+}
+
+// TestCloseIdle closes connections that carry nothing for the time the module sets, and none with an open
+// request.
+func TestCloseIdle(t *testing.T) {
+	s, it := run(t)
+	idle, busy := testkit.Dial(t, s.cfg.Listen.String()), testkit.Dial(t, s.cfg.Listen.String())
+	check(idle, false)
+	busy.Write(testkit.Lookup("").Records(1))
+	run := it.WaitApplied(1)[0].ID
+	testkit.Wait(t, "the module's own setting", func() (set bool) {
+		do(s, func() { set = s.idle > 0 })
+		return set
+	})
+	do(s, func() { actions{s}.CloseIdle(20 * time.Millisecond) })
+	idle.Ended()
+	it.End(run, "OK", []byte("x"))
+	if a := busy.Answer(1); a.Status != 200 {
+		t.Errorf("answer on the connection with an open request: %+v", a)
+	}
+	busy.Ended()
+	do(s, func() {
+		if s.count.idleClosed < 2 {
+			t.Errorf("%d connections were closed as idle", s.count.idleClosed)
+		}
+	})
+}
