--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -300,6 +300,10 @@
 			t.Errorf("%s: answer %+v, want status %d", what, a, c.status)
 		}
 	}
+	g.Write(good.With("Account", strings.Repeat("a", 3000)).Records(1))
+	if a := g.Answer(1); a.Status != 400 || string(a.Body) != `field Account is "`+strings.Repeat("a", 40)+"\"\n" {
+		t.Errorf("the answer does not name the field: %+v", a)
+	}
 	broken := testkit.Dial(t, n.Addr)
 	broken.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	broken.Ended()
@@ -307,7 +311,7 @@
 	if a := g.Answer(2); a.Status != 200 {
 		t.Errorf("answer after all that %+v", a)
 	}
-	n.WaitCounter("invalid", 14)
+	n.WaitCounter("invalid", 15)
 	n.WaitCounter("too_large", 1)
 	n.WaitCounter("broken", 1)
 }
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -44,9 +44,8 @@
 // Data implements loop.ConnHandler.
 func (g *gateway) Data(_ *loop.Conn, p []byte) {
 	g.used = true
-	if err := g.session.Feed(p); err != nil {
+	if g.session.Feed(p) != nil {
 		g.server.count.broken++
-		g.server.log.Debug("gateway stream broken", zap.Error(err))
 		g.conn.Close()
 		g.end()
 		return
--- a/server/requests.go
+++ b/server/requests.go
@@ -5,8 +5,6 @@
 	"errors"
 	"slices"
 
-	"go.uber.org/zap"
-
 	"tillerusher"
 	"tillerusher/internal/front"
 	"tillerusher/internal/interp"
@@ -31,8 +29,7 @@
 	}
 	if err != nil {
 		s.count.invalid++
-		s.log.Debug("request not understood", zap.Error(err))
-		g.answer(id, front.Answer{Status: statusInvalid})
+		g.answer(id, front.Answer{Status: statusInvalid, Body: []byte(err.Error() + "\n")})
 		return
 	}
 	s.lastID++
--- a/server/try.go
+++ b/server/try.go
@@ -64,7 +64,7 @@
 // fail notes a field that makes no sense.
 func (f *fields) fail(name, value string) {
 	if f.err == nil {
-		f.err = fmt.Errorf("field %s is %q", name, value)
+		f.err = fmt.Errorf("field %s is %.40q", name, value)
 	}
 }
 
