Try a class again that was slow once, where the cores have room

Its learned run time had passed its aim in a slow spell; best, and now giveUp, turned away every request of it as unable to be on time, so nothing ran that could have shown otherwise (policy.go, hopeless). Ruled out: a stall (none logged), a drain, memory, and requests due when read.

The expected time now turns a request away only while the cores read full, or where the caller is not expected to wait that long.

--- a/policy.go
+++ b/policy.go
@@ -867,10 +867,15 @@
 	return time.Duration(in.classes[r.class].wall * float64(time.Second))
 }
 
-// hopeless tells whether a run begun now would earn nothing, or little while others wait for the cores.
+// hopeless tells whether a run begun now would earn nothing, or little while others wait for full cores. What
+// a run takes is only known from the latest ones: where the cores have room and the caller would still wait,
+// it is tried. A class that slowed down once would else be turned away for good, as nothing of it ran any more
+// to show that it is fast again.
 func (in *Instance) hopeless(r *request) bool {
-	late := in.set.Classes[r.class].LateWorth
-	return in.tardy(r) && (in.busy >= busyFull || late == 0 || in.now+in.ownTime(r) > r.due)
+	if in.now+in.ownTime(r) > r.due || in.now > r.useful && in.set.Classes[r.class].LateWorth == 0 {
+		return true
+	}
+	return in.tardy(r) && in.busy >= busyFull
 }
 
 // best picks the next to run: first those that can still be on time, among them those within their tenant's
--- a/policy_test.go
+++ b/policy_test.go
@@ -244,6 +244,31 @@
 	}
 }
 
+// A class whose runs were slow for a while is run again as soon as the cores have room: only that shows whether
+// it still is. It was turned away for good before, on cores that stood idle.
+func TestSlowClassIsTriedAgain(t *testing.T) {
+	in, rec := start(t, testSettings())
+	in.set.Classes[0].LateWorth = 0
+	for range 20 {
+		in.learn(0, 0.1, 4) // seconds of the wall: over the aim, within the deadline
+	}
+	in.busy = 0.5
+	in.Request(0, ask(1, 0))
+	in.Settle(0)
+	expect(t, rec, "run refuse", "run 1")
+	in.Done(100*ms, 1, OK)
+	if wall := in.classes[0].wall; wall >= 4 {
+		t.Errorf("a fast run left the expected time at %v s", wall)
+	}
+	fill(in, rec, 100*ms, 0)
+	in.busy = 1
+	in.Request(200*ms, ask(2, 0))
+	in.Settle(200 * ms)
+	if got := rec.take("refuse"); len(got) != 1 || !strings.HasPrefix(got[0], "refuse 2 ") {
+		t.Errorf("on full cores: %q", got)
+	}
+}
+
 // A server that can't read what comes asks for less and less of every rank; one that only works asks for half.
 func TestBacklogAsksForLess(t *testing.T) {
 	for _, c := range []struct {
