--- a/policy.go
+++ b/policy.go
@@ -869,8 +869,8 @@
 
 // hopeless tells whether a run begun now would earn nothing, or little while others wait for full cores. What
 // a run takes is only known from the latest ones: where the cores have room and the caller would still wait,
-// it is tried. A class that slowed down once would else be turned away for good, as nothing of it ran any more
-// to show that it is fast again.
+// it is tried. A class that slowed down once would else be turned away for good, as nothing of it ran to show
+// that it is fast again.
 func (in *Instance) hopeless(r *request) bool {
 	if in.now+in.ownTime(r) > r.due || in.now > r.useful && in.set.Classes[r.class].LateWorth == 0 {
 		return true
