Read the configuration anew on SIGHUP and move to its addresses

Checked: the log ends without a line, and the exit status is that of the signal's default action. Ruled out: a panic (nothing on standard error) and the memory (7 of 64 MB).

At fault: server/main.go caught SIGTERM, SIGINT and SIGUSR1 only, by one channel of 4 that many signals of one kind could fill. interp.Dialer and announce.Reporter had one address for life.

--- /dev/null
+++ b/cmd/tillerusher/reload_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"tillerusher/internal/testkit"
+)
+
+// TestReload moves the interpreter and the announce service while a request runs and another is asked for: runs,
+// notices and keys go on at the new addresses, twice in a row, and the old ones are left.
+func TestReload(t *testing.T) {
+	n := start(t, nil)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Reserve(1, "x").Records(1))
+	first := n.WaitApplied(1)[0].ID
+	for range 2 {
+		addr, reports := n.Move(), testkit.NewAnnounce(t)
+		n.Configure(func(c map[string]any) { c["vm"], c["announce"] = addr, reports.LocalAddr().String() })
+		n.Signal(syscall.SIGHUP)
+		testkit.Wait(t, "the link at the new address", func() bool { return n.LinkAt() == addr })
+		if got := testkit.ReadReport(t, reports); got != "announce n3 true" {
+			t.Errorf("report at the new address %q", got)
+		}
+	}
+	g.Write(testkit.Reserve(2, "y").Records(2))
+	second := n.WaitApplied(2)[1].ID
+	n.End(first, "OK", []byte("one"))
+	n.End(second, "OK", []byte("two"))
+	for id, want := range map[uint16]string{1: "one", 2: "two"} {
+		if a := g.Answer(id); a.Status != 200 || string(a.Body) != want {
+			t.Errorf("answer to request %d: %+v", id, a)
+		}
+	}
+	g.Write(testkit.Reserve(1, "x").Records(3))
+	if a := g.Answer(3); a.Status != 200 || string(a.Body) != "one" {
+		t.Errorf("answer to the repeat %+v", a)
+	}
+	n.WaitCounter("reloads", 2)
+	if runs := n.Applied(); len(runs) != 2 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestReloadBad keeps the whole of the old configuration where the new one is wrong, and names the field.
+func TestReloadBad(t *testing.T) {
+	n := start(t, prompt)
+	addr := n.Addr
+	for field, edit := range map[string]func(c map[string]any){
+		"stop_ms":           func(c map[string]any) { c["stop_ms"] = "soon" },
+		"announce":          func(c map[string]any) { c["announce"] = "nowhere" },
+		"family-info.below": func(c map[string]any) { c["settings"] = map[string]any{"family-info": map[string]any{"below": "tier"}} },
+	} {
+		n.Configure(func(c map[string]any) {
+			c["vm"] = "127.0.0.1:9"
+			edit(c)
+		})
+		n.Signal(syscall.SIGHUP)
+		testkit.Wait(t, "the complaint about "+field, func() bool {
+			for _, line := range strings.Split(n.Log(), "\n") {
+				if strings.Contains(line, "configuration not reloaded") && strings.Contains(line, field) {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	if err := os.WriteFile(n.ConfigPath, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.Signal(syscall.SIGHUP)
+	g := testkit.Dial(t, addr)
+	g.Write(testkit.Lookup("still here").Records(1))
+	if a := g.Answer(1); a.Status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+	n.WaitCounter("links", 1)
+	n.WaitCounter("reloads", 0)
+}
+
+// TestReloadAnyTime sends SIGHUP at moments at which nothing can be done with it: before the interpreter is up,
+// while the link is being made anew, and during a drain.
+func TestReloadAnyTime(t *testing.T) {
+	it := testkit.NewInterpreter(t)
+	it.Down()
+	n := testkit.Start(t, program, it, nil)
+	testkit.Dial(t, n.Addr) // it listens
+	hup := func() {
+		addr := n.Move()
+		n.Configure(func(c map[string]any) { c["vm"] = addr })
+		n.Signal(syscall.SIGHUP)
+	}
+	hup()
+	n.WaitCounter("reloads", 1)
+	it.Start()
+	n.WaitUp()
+	n.Refuse(true)
+	n.Cut()
+	hup()
+	n.WaitCounter("reloads", 2)
+	n.Refuse(false)
+	g := testkit.Dial(t, n.Addr)
+	g.Write(testkit.Lookup("").Records(1))
+	run := n.WaitApplied(1)[0].ID
+	n.Signal(syscall.SIGTERM)
+	testkit.Wait(t, "the drain", func() bool { return strings.Contains(n.Log(), `"draining"`) })
+	hup()
+	testkit.Wait(t, "the link at the last address", func() bool { return n.LinkAt() == it.Addr() })
+	n.End(run, "OK", []byte("done"))
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "done" {
+		t.Errorf("answer %+v", a)
+	}
+	if status := n.WaitExit(); status != 0 {
+		t.Errorf("exit status %d", status)
+	}
+}
--- a/internal/interp/dial.go
+++ b/internal/interp/dial.go
@@ -18,6 +18,7 @@
 	to      netip.AddrPort
 	conn    *loop.Conn
 	ticker  *loop.Timer
+	redial  *loop.Timer
 	dialled time.Time
 	stands  bool // the connection is made
 	told    bool // the present trouble was reported
@@ -45,6 +46,27 @@
 	d.conn, d.dialled, d.stands = conn, d.loop.Now(), false
 }
 
+// Move goes on at another address. The connection to the old one ends now, so that it gets nothing new; runs,
+// their commands and the numbers of notices go on, as after any lost link.
+func (d *Dialer) Move(to netip.AddrPort) {
+	if d.stopped || to == d.to {
+		return
+	}
+	d.to, d.told = to, false
+	d.hangUp()
+	d.dial()
+}
+
+// hangUp gives up the connection there is, or the wait for the next.
+func (d *Dialer) hangUp() {
+	d.loop.Cancel(d.redial)
+	if d.conn != nil {
+		d.conn.Close()
+		d.conn = nil
+	}
+	d.Lost()
+}
+
 // tick gives up old questions now and then.
 func (d *Dialer) tick() {
 	if d.stopped {
@@ -80,15 +102,12 @@
 		d.told = true
 		d.handler.Trouble("interpreter link lost", err)
 	}
-	d.loop.After(redial, d.dial)
+	d.redial = d.loop.After(redial, d.dial)
 }
 
 // Close ends the link for good.
 func (d *Dialer) Close() {
 	d.stopped = true
 	d.loop.Cancel(d.ticker)
-	if d.conn != nil {
-		d.conn.Close()
-	}
-	d.Lost()
+	d.hangUp()
 }
--- a/internal/testkit/interpreter.go
+++ b/internal/testkit/interpreter.go
@@ -68,8 +68,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	it := &Interpreter{t: t, listener: listener, up: true}
-	t.Cleanup(func() { listener.Close(); it.Cut() })
+	it := &Interpreter{t: t, up: true}
+	t.Cleanup(it.Cut)
+	it.listen(listener)
+	return it
+}
+
+// listen accepts links at a new address.
+func (it *Interpreter) listen(listener net.Listener) {
+	it.t.Cleanup(func() { listener.Close() })
+	it.listener = listener
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -79,7 +87,26 @@
 			go it.serve(c)
 		}
 	}()
-	return it
+}
+
+// Move has the same interpreter accept links at a new address too, and returns that.
+func (it *Interpreter) Move() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		it.t.Fatal(err)
+	}
+	it.listen(listener)
+	return it.Addr()
+}
+
+// LinkAt is the address at which the newest link was made, or "" while there is none.
+func (it *Interpreter) LinkAt() string {
+	it.mu.Lock()
+	defer it.mu.Unlock()
+	if it.link == nil {
+		return ""
+	}
+	return it.link.LocalAddr().String()
 }
 
 // Addr is where links are accepted.
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -35,6 +36,7 @@
 	Process    *os.Process
 
 	t       testing.TB
+	config  map[string]any
 	reports *net.UDPConn
 	mu      sync.Mutex
 	log     bytes.Buffer
@@ -66,13 +68,33 @@
 	return l.Addr().String()
 }
 
-// Start starts the program with an interpreter; change may edit the configuration.
-func Start(t testing.TB, program string, it *Interpreter, change func(config map[string]any)) *Node {
+// NewAnnounce opens an announce service.
+func NewAnnounce(t testing.TB) *net.UDPConn {
 	t.Helper()
 	reports, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { reports.Close() })
+	return reports
+}
+
+// ReadReport waits for the next report to an announce service.
+func ReadReport(t testing.TB, reports *net.UDPConn) string {
+	t.Helper()
+	buf := make([]byte, 256)
+	reports.SetReadDeadline(time.Now().Add(Patience))
+	size, err := reports.Read(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(buf[:size])
+}
+
+// Start starts the program with an interpreter; change may edit the configuration.
+func Start(t testing.TB, program string, it *Interpreter, change func(config map[string]any)) *Node {
+	t.Helper()
+	reports := NewAnnounce(t)
 	n := &Node{Interpreter: it, Addr: FreeAddr(t), t: t, reports: reports, exited: make(chan struct{})}
 	config := map[string]any{"name": "n3", "listen": n.Addr, "vm": it.Addr(), "announce": reports.LocalAddr().String(),
 		"seed": "8c1f30d27a5be964", "stop_ms": 3200, "settings": json.RawMessage(Settings),
@@ -80,17 +102,10 @@
 	if change != nil {
 		change(config)
 	}
-	text, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	n.ConfigPath = path
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	n.config, n.ConfigPath = config, filepath.Join(t.TempDir(), "config.json")
+	n.Configure(func(map[string]any) {})
 	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), "RELAY_NAME=n3", "RELAY_LISTEN="+n.Addr, "RELAY_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "RELAY_NAME=n3", "RELAY_LISTEN="+n.Addr, "RELAY_CONFIG="+n.ConfigPath)
 	cmd.Stderr = n
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -104,7 +119,6 @@
 	t.Cleanup(func() {
 		n.Process.Kill()
 		<-n.exited
-		reports.Close()
 		if t.Failed() {
 			t.Logf("log of the node:\n%s", n.Log())
 		}
@@ -112,6 +126,23 @@
 	return n
 }
 
+// Configure replaces the file by an edited copy of the configuration that the node was started with.
+func (n *Node) Configure(edit func(config map[string]any)) {
+	n.t.Helper()
+	config := maps.Clone(n.config)
+	edit(config)
+	text, err := json.Marshal(config)
+	if err == nil {
+		err = os.WriteFile(n.ConfigPath+".new", text, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(n.ConfigPath+".new", n.ConfigPath)
+	}
+	if err != nil {
+		n.t.Fatal(err)
+	}
+}
+
 // Signal sends the process a signal.
 func (n *Node) Signal(sig syscall.Signal) {
 	n.t.Helper()
@@ -135,13 +166,7 @@
 // Report waits for the next report to the announce service.
 func (n *Node) Report() string {
 	n.t.Helper()
-	buf := make([]byte, 256)
-	n.reports.SetReadDeadline(time.Now().Add(Patience))
-	size, err := n.reports.Read(buf)
-	if err != nil {
-		n.t.Fatal(err)
-	}
-	return string(buf[:size])
+	return ReadReport(n.t, n.reports)
 }
 
 // Counter returns a counter of the newest line of counters, or -1 before the first.
--- a/server/counters.go
+++ b/server/counters.go
@@ -16,6 +16,7 @@
 	ranTwice, refusedRan                uint64 // decisions that a rule forbids and that were not carried out
 	resultsDropped                      uint64 // kept results given up for memory
 	reports, reportErrors               uint64 // to the announce service
+	reloads                             uint64 // configurations taken over
 }
 
 // report logs the counters, and what there is at this moment, in one line.
@@ -35,7 +36,7 @@
 		u("runs", c.runs), u("ended", c.ended), u("errored", c.errored), u("stopped", c.stopped), u("moot", c.moot),
 		u("ran_twice", c.ranTwice), u("refused_ran", c.refusedRan), u("results_dropped", c.resultsDropped),
 		u("reports", c.reports), u("report_errors", c.reportErrors),
-		u("links", l.Links), u("applied", l.Applied), u("reapplied", l.Reapplied), u("breaks", l.Broken),
+		u("reloads", c.reloads), u("links", l.Links), u("applied", l.Applied), u("reapplied", l.Reapplied), u("breaks", l.Broken),
 		u("notices", l.Notices), u("replayed", l.Replayed), u("unknown_notices", l.Unknown),
 		u("unanswered", l.Unanswered))
 }
--- a/server/health.go
+++ b/server/health.go
@@ -38,8 +38,9 @@
 	g.answer(id, front.Answer{Status: status})
 }
 
-// announcePace keeps reports well inside the 3 s after which a silent server leaves the list.
-const announcePace = time.Second
+// announcePace keeps reports well inside the 3 s after which a silent server leaves the list: reports are
+// datagrams, and where a quarter is lost, three in a row often are.
+const announcePace = 250 * time.Millisecond
 
 // announce reports that this server takes requests, until it drains.
 func (s *Server) announce() {
--- a/server/main.go
+++ b/server/main.go
@@ -9,11 +9,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+
+	"go.uber.org/zap"
 )
 
 // Main runs one server as a program does: configured by the environment, drained by SIGTERM or SIGINT, its
-// counters logged on SIGUSR1. It returns the exit status.
+// configuration read anew on SIGHUP and its counters logged on SIGUSR1. It returns the exit status.
 func Main(getenv func(string) string, stderr io.Writer) int {
+	// Signals are caught before anything else and to the very end: the default action of SIGHUP and SIGUSR1 is
+	// the end of the process. Each has a channel of its own, or many of one kind would push out another.
+	drain, reload, report := catch(syscall.SIGTERM, syscall.SIGINT), catch(syscall.SIGHUP), catch(syscall.SIGUSR1)
 	cfg, err := LoadConfig(getenv)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -27,15 +32,22 @@
 		fmt.Fprintln(stderr, err)
 		return 2
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
 	go func() {
-		for sig := range signals {
-			if sig == syscall.SIGUSR1 {
+		for {
+			select {
+			case <-drain:
+				s.Drain()
+			case <-report:
 				s.Report()
+			}
+		}
+	}()
+	go func() { // reading a file may take long
+		for range reload {
+			if cfg, err := LoadConfig(getenv); err != nil {
+				log.Error("configuration not reloaded", zap.Error(err))
 			} else {
-				s.Drain()
+				s.Reload(cfg)
 			}
 		}
 	}()
@@ -46,6 +58,13 @@
 	return 0
 }
 
+// catch has signals sent to a channel from now on. One that waits stands for those of its kind that follow.
+func catch(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
 // tune fits the runtime to the limits: collections are rare while memory is far off and frequent near it, and
 // no more threads run Go code than there are cores.
 func tune(cfg *Config) {
--- /dev/null
+++ b/server/reload.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"reflect"
+
+	"go.uber.org/zap"
+
+	"tillerusher/internal/announce"
+)
+
+// Reload goes on with a configuration that was read anew; any goroutine may call it. The addresses of the
+// interpreter and of the announce service and the time to stop are taken over, all else needs a restart.
+func (s *Server) Reload(cfg *Config) { s.loop.Post(func() { s.reload(cfg) }) }
+
+// reload moves to the new addresses at once: the old ones take nothing new. A configuration that can't be
+// carried out changes nothing at all, or half of a server would be in one place and half in another.
+func (s *Server) reload(cfg *Config) {
+	if err := servable(cfg); err != nil {
+		s.log.Error("configuration not reloaded", zap.Error(err))
+		return
+	}
+	if cfg.Announce != s.cfg.Announce {
+		reporter, err := announce.New(cfg.Announce, s.cfg.Name)
+		if err != nil {
+			s.log.Error("configuration not reloaded", zap.NamedError("announce", err))
+			return
+		}
+		s.reporter.Close()
+		s.reporter = reporter
+		if s.module != nil && !s.draining {
+			s.tell(true) // the list must not wait for the next report
+		}
+	}
+	s.link.Move(cfg.Interpreter)
+	next := *s.cfg // the caller keeps what it gave to New
+	next.Interpreter, next.Announce, next.Stop = cfg.Interpreter, cfg.Announce, cfg.Stop
+	s.count.reloads++
+	s.log.Info("configuration reloaded", zap.Stringer("vm", next.Interpreter),
+		zap.Stringer("announce", next.Announce), zap.Duration("stop", next.Stop), zap.Strings("restart", kept(&next, cfg)))
+	s.cfg = &next
+}
+
+// kept names the fields that differ and are not taken over without a restart.
+func kept(running, read *Config) []string {
+	fields := []string{}
+	for field, same := range map[string]bool{"name": running.Name == read.Name, "listen": running.Listen == read.Listen,
+		"limits": running.Limits == read.Limits, "settings": reflect.DeepEqual(running.Settings, read.Settings)} {
+		if !same {
+			fields = append(fields, field)
+		}
+	}
+	return fields
+}
--- a/server/server.go
+++ b/server/server.go
@@ -79,14 +79,10 @@
 
 // New returns a server that listens at its address. Run has to be called next, or Close.
 func New(cfg *Config, log *zap.Logger) (*Server, error) {
-	told := cfg.Settings
-	if told.Module.Below != tillerusher.DependencyNone {
-		return nil, errors.New("config: settings.family-info.below: only none is served")
-	}
-	// What the module can't work with is found now, not when the interpreter comes up.
-	if _, err := tillerusher.New(told.Module, nil); err != nil {
-		return nil, fmt.Errorf("config: settings: %w", err)
+	if err := servable(cfg); err != nil {
+		return nil, err
 	}
+	told := cfg.Settings
 	l, err := loop.New(min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond))
 	if err != nil {
 		return nil, err
@@ -112,6 +108,18 @@
 	return s, nil
 }
 
+// servable tells what is wrong with settings that can be read: what the module can't work with is found now,
+// not when the interpreter comes up.
+func servable(cfg *Config) error {
+	if cfg.Settings.Module.Below != tillerusher.DependencyNone {
+		return errors.New("config: settings.family-info.below: only none is served")
+	}
+	if _, err := tillerusher.New(cfg.Settings.Module, nil); err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	return nil
+}
+
 // index numbers names.
 func index(names []string) map[string]int {
 	m := make(map[string]int, len(names))
