Turn away ids seen before, keys with another body and figures out of range

Checked with a probe that logged repeats: 81 had the key of a request with another body and got the result of its run. The same probe showed 6158 of 18109 requests under an id that was read before: some are copies sent as soon as the first is turned away (200 of each), some carry the id of a request that was just answered. All counted as arrivals of their tenant and as further tries.

At fault: keyTable.find compared key and class only; Server.request compared ids with open requests only; fields took figures such as 0x1p3 or a time a year ahead, which would keep a key for good; an APPLY that was turned away claimed its key for the window, so the request the key belongs to failed.

--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -290,6 +290,14 @@
 		"huge footprint":  {good.With("Footprint-Kb", "2000"), 400},
 		"not a number":    {good.With("Work-Estimate", "NaN"), 400},
 		"rank of 1":       {good.With("Priority-Rank", "1"), 400},
+		"negative work":   {good.With("Work-Estimate", "-12.5"), 400},
+		"endless work":    {good.With("Work-Estimate", "Inf"), 400},
+		"huge work":       {good.With("Work-Estimate", "100000"), 400},
+		"work in hex":     {good.With("Work-Estimate", "0x1p3"), 400},
+		"strange sender":  {good.With("Sent-By", "70000"), 400},
+		"strange mark":    {good.With("Attempt-Again", "yes"), 400},
+		"long ago":        {good.With("Received-At", "1"), 400},
+		"far ahead":       {good.With("Received-At", strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10)), 400},
 		"unknown class":   {testkit.Request{Method: "POST", Path: "/v1/brake-fluid", Fields: good.Fields}, 400},
 		"no class":        {testkit.Request{Method: "POST", Path: "/stock-reserve", Fields: good.Fields}, 400},
 		"wrong method":    {testkit.Request{Method: "GET", Path: good.Path, Fields: good.Fields}, 400},
@@ -311,11 +319,54 @@
 	if a := g.Answer(2); a.Status != 200 {
 		t.Errorf("answer after all that %+v", a)
 	}
-	n.WaitCounter("invalid", 15)
+	n.WaitCounter("invalid", 23)
 	n.WaitCounter("too_large", 1)
 	n.WaitCounter("broken", 1)
 }
 
+// TestBorrowed sends a request that was served again under its id, and with its key and another body: neither
+// gets the result, and the copies of a request that was turned away are not taken for further tries.
+func TestBorrowed(t *testing.T) {
+	n := start(t, prompt)
+	g := testkit.Dial(t, n.Addr)
+	r := testkit.Reserve(1, "x")
+	g.Write(r.Records(1))
+	if a := g.Answer(1); a.Status != 200 {
+		t.Fatalf("answer %+v", a)
+	}
+	other := testkit.Reserve(1, "y")
+	late := testkit.Lookup("").With("Received-At", strconv.FormatInt(time.Now().Add(-5*time.Second).UnixMilli(), 10))
+	g.Write(late.Records(1))
+	if a := g.Answer(1); a.Status != 503 {
+		t.Errorf("answer to a request whose time is over %+v", a)
+	}
+	for what, r := range map[string]testkit.Request{"its id": r, "its key with another body": other, "an id that was refused": late} {
+		g.Write(r.Records(1))
+		if a := g.Answer(1); a.Status != 400 {
+			t.Errorf("%s: answer %+v", what, a)
+		}
+	}
+	n.WaitCounter("reused", 0)
+	n.WaitCounter("requests", 5)
+}
+
+// TestUnknownFreesKey has the interpreter turn away a request that no gateway can have sent: nothing ran, so the
+// request that its key belongs to is served.
+func TestUnknownFreesKey(t *testing.T) {
+	n := start(t, prompt)
+	g := testkit.Dial(t, n.Addr)
+	stray := testkit.Reserve(1, "x")
+	n.Unknown(stray.ID())
+	g.Write(stray.Records(1))
+	if a := g.Answer(1); a.Status != 500 {
+		t.Errorf("answer to the stray %+v", a)
+	}
+	g.Write(testkit.Reserve(1, "y").Records(2))
+	if a := g.Answer(2); a.Status != 200 || string(a.Body) != "[y]" {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 // TestTooMany fills a connection: what is over its limit gets the protocol's own answer.
 func TestTooMany(t *testing.T) {
 	n := start(t, nil)
--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -32,6 +32,7 @@
 	id, class string
 	body      []byte
 	sent      bool   // APPLY was written on some link
+	again     bool   // APPLY was written on more than one
 	current   bool   // APPLY was written on this link, or need not be
 	taken     bool   // the interpreter has read an APPLY
 	tag       uint64 // the last question asked before APPLY on this link
@@ -153,6 +154,7 @@
 	}
 	if !r.current {
 		if r.sent {
+			r.again = true
 			l.Count.Reapplied++
 		} else {
 			l.Count.Applied++
@@ -302,7 +304,7 @@
 	case opError:
 		l.handler.Trouble("interpreter turned a command away", fmt.Errorf("%s %s", n.End, n.ID))
 		if n.End == opApply {
-			l.ended(n.ID, EndError, nil)
+			l.rejected(n.ID)
 		}
 	case opTrace:
 	default:
@@ -310,6 +312,16 @@
 	}
 }
 
+// rejected reports that a command to run a request was turned away. Where it was given more than once, an
+// earlier one may have been carried out.
+func (l *Link) rejected(id string) {
+	end := EndRejected
+	if r := l.runs[id]; r != nil && r.again {
+		end = EndError
+	}
+	l.ended(id, end, nil)
+}
+
 // ended reports the end of a run that is known.
 func (l *Link) ended(id string, end End, result []byte) {
 	if l.runs[id] == nil {
--- a/internal/interp/link_test.go
+++ b/internal/interp/link_test.go
@@ -229,7 +229,7 @@
 	e.link.Apply("a1", "look", nil)
 	e.say(`{"op":"ERROR","end":"APPLY","id":"a1"}`, `{"op":"ERROR","end":"BREAK","id":"a1"}`)
 	e.expect([]string{"CONNECT 0", `APPLY a1 look ""`},
-		[]string{upWarm, "trouble APPLY a1", `a1 ERROR ""`, "trouble BREAK a1"})
+		[]string{upWarm, "trouble APPLY a1", `a1 rejected ""`, "trouble BREAK a1"})
 }
 
 // TestSplitLines feeds notices cut at every place, and lines that are none.
--- a/internal/interp/message.go
+++ b/internal/interp/message.go
@@ -12,6 +12,8 @@
 	EndError   End = "ERROR"
 	EndStopped End = "STOPPED"
 	EndMoot    End = "MOOT"
+	// EndRejected is no word of the interpreter's: it turned the command away, so nothing was run.
+	EndRejected End = "rejected"
 )
 
 // The names of messages.
--- a/internal/testkit/interpreter.go
+++ b/internal/testkit/interpreter.go
@@ -59,7 +59,8 @@
 	notices []message // all, in order
 	applied []Apply   // all that started a run
 	running []string
-	refuse  bool // links are closed at once
+	refuse  bool   // links are closed at once
+	unknown string // the id of which no request came to this process
 }
 
 // NewInterpreter starts an interpreter that is up and ends runs only when told.
@@ -139,6 +140,9 @@
 	})
 }
 
+// Unknown has commands for the id turned away.
+func (it *Interpreter) Unknown(id string) { it.set(func() { it.unknown = id }) }
+
 // Cut ends the link, and Refuse closes new ones too until Cut is called with Refuse(false).
 func (it *Interpreter) Cut() {
 	it.set(func() {
@@ -204,6 +208,10 @@
 		if slices.Contains(it.running, m.ID) {
 			return true
 		}
+		if m.ID == it.unknown {
+			it.write(message{Op: "ERROR", End: m.Op, ID: m.ID})
+			return true
+		}
 		it.applied = append(it.applied, Apply{m.ID, m.Class, m.Body})
 		it.running = append(it.running, m.ID)
 		if it.prompt {
--- a/server/keys.go
+++ b/server/keys.go
@@ -116,6 +116,17 @@
 	return true
 }
 
+// disclaim takes back that the try was run, which it turned out not to be, and frees its key.
+func (k *keyTable) disclaim(t *try) {
+	if e := k.entries[t.key]; e != nil && e.ran == t {
+		e.ran = nil
+		if e.holder == nil {
+			delete(k.entries, t.key)
+		}
+	}
+	k.forget(t.id)
+}
+
 // source is the try whose run answers a repeat.
 func (k *keyTable) source(t *try) *try {
 	if e := k.entries[t.key]; e != nil && e.ran != nil {
--- a/server/requests.go
+++ b/server/requests.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"slices"
+	"strconv"
+	"time"
 
 	"tillerusher"
 	"tillerusher/internal/front"
@@ -19,14 +22,14 @@
 	s.count.requests++
 	now := s.event()
 	t, q, err := s.read(r, now)
-	switch {
-	case err == nil && s.byWire[t.wire] != nil:
-		err = errors.New("field Request-Id is that of an open request")
-	case err == nil && s.module == nil:
+	if err == nil && s.module == nil {
 		s.count.refused++
 		g.answer(id, front.Answer{Status: statusRefused}) // nothing can run yet
 		return
 	}
+	if err == nil {
+		err = s.recognise(t, now)
+	}
 	if err != nil {
 		s.count.invalid++
 		g.answer(id, front.Answer{Status: statusInvalid, Body: []byte(err.Error() + "\n")})
@@ -37,16 +40,33 @@
 	if q.Retry {
 		s.count.retries++
 	}
-	if t.keyed {
-		if t.repeats = s.keys.find(t); t.repeats != nil {
-			s.count.repeats++
-			q.Repeats = t.repeats.id
-		}
+	if t.repeats != nil {
+		s.count.repeats++
+		q.Repeats = t.repeats.id
 	}
 	s.tries[t.id], s.byWire[t.wire], g.tries[id] = t, t, t
 	s.module.Request(now, q)
 }
 
+// recognise finds the try that this one repeats. It complains of an id that was used before, and of a key whose
+// request had another body: its sender must not get the result of that.
+func (s *Server) recognise(t *try, now time.Duration) error {
+	number, err := strconv.ParseUint(t.wire, 16, 64)
+	if err != nil {
+		return fmt.Errorf("field Request-Id: %w", err)
+	}
+	if s.byWire[t.wire] != nil || !s.seen.add(number, now) {
+		return errors.New("field Request-Id is that of another try")
+	}
+	if !t.keyed {
+		return nil
+	}
+	if t.repeats = s.keys.find(t); t.repeats != nil && t.repeats.sum != t.sum {
+		return errors.New("field Once-Key is that of a request with another body")
+	}
+	return nil
+}
+
 // answer gives a try its final answer.
 func (s *Server) answer(t *try, a front.Answer) {
 	if t.answered {
@@ -70,7 +90,7 @@
 	if t.answered && t.state != running {
 		delete(s.tries, t.id)
 		delete(s.byWire, t.wire)
-		t.body = nil
+		t.body, t.from = nil, nil // a remembered key must not hold on to its connection
 	}
 }
 
@@ -92,6 +112,10 @@
 	case interp.EndStopped:
 		s.count.stopped++
 		s.over(t, tillerusher.Cancelled)
+	case interp.EndRejected:
+		s.count.errored++
+		s.keys.disclaim(t) // nothing ran: the key is free for the request that it belongs to
+		s.over(t, tillerusher.Moot)
 	case interp.EndMoot:
 		s.count.moot++
 		s.over(t, tillerusher.Moot)
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +68,8 @@
 	tries            map[tillerusher.RequestID]*try // owed an answer, or running
 	byWire           map[string]*try                // the same, by Request-Id
 	keys             keyTable
+	seen             seenIDs
+	sums             maphash.Seed  // of the sums of bodies, which no sender can foresee
 	patience         time.Duration // longest deadline of a class
 
 	hint               string
@@ -92,10 +95,11 @@
 			Memory: cfg.Limits.MemoryMB << 20 / requestPart}),
 		classes: index(told.Classes), tenants: index(told.Tenants),
 		gateways: map[*gateway]bool{}, tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
-		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart)}
+		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart), sums: maphash.MakeSeed()}
 	for _, c := range told.Module.Classes {
 		s.patience = max(s.patience, c.Deadline)
 	}
+	s.seen = newSeenIDs(max(2*s.patience, seenLeast), cfg.Limits.MemoryMB<<20/seenPart/seenSize)
 	if s.reporter, err = announce.New(cfg.Announce, cfg.Name); err != nil {
 		l.Close()
 		return nil, err
--- a/server/try.go
+++ b/server/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/maphash"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,7 @@
 	arrived  time.Duration // by the module's clock
 	stamp    time.Time     // Received-At
 	body     []byte
+	sum      uint64 // of the body, where tries of one request must agree in it
 	repeats  *try
 	answered bool // no answer is owed any more
 	state    progress
@@ -43,8 +45,15 @@
 	waiters  []*try // repeats that wait for its run
 }
 
-// A request's memory, in KB, is above 0 and stays under the most.
-const leastFootprint, maxFootprint = 1e-6, 2000
+// The bounds of figures. What is outside is no request of a gateway, and must not reach the module's estimates:
+// one time far in the past would look like a backlog, one in the future would keep a key for good.
+const (
+	leastFootprint, maxFootprint = 1e-6, 2000 // KB
+	maxWork                      = 1e5        // ms
+	maxSender                    = 1 << 16
+	maxAhead                     = time.Second // clocks of two machines differ
+	maxUnread                    = time.Minute // a request may lie unread while the machine pauses
+)
 
 // fields reads the fields of a request and keeps the first complaint.
 type fields struct {
@@ -75,7 +84,7 @@
 		return absent[0]
 	}
 	value, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(value >= from && value < under) {
+	if err != nil || strings.Trim(text, "0123456789.") != "" || !(value >= from && value < under) {
 		f.fail(name, text)
 	}
 	return value
@@ -106,10 +115,17 @@
 		f.fail("REQUEST_METHOD", r.Method)
 	}
 	t := &try{wire: f.hex("Request-Id", 16), class: class, body: r.Body}
-	stamp := f.number("Received-At", 1, 1e15)
+	unix := s.loop.Now().Round(0)
+	t.stamp = time.UnixMilli(int64(f.number("Received-At", 1, 1e15)))
+	if lain := unix.Sub(t.stamp); lain > maxUnread || lain < -maxAhead {
+		f.fail("Received-At", r.Fields["received-at"])
+	}
+	if again := r.Fields["attempt-again"]; again != "" && again != "1" {
+		f.fail("Attempt-Again", again)
+	}
 	q := tillerusher.Request{Class: class, Retry: r.Fields["attempt-again"] == "1",
-		Caller: int(f.number("Sent-By", 0, 1<<31, 0)),
-		Work:   time.Duration(f.number("Work-Estimate", 0, 1e9, 0) * float64(time.Millisecond)),
+		Caller: int(f.number("Sent-By", 0, maxSender, 0)),
+		Work:   time.Duration(f.number("Work-Estimate", 0, maxWork, 0) * float64(time.Millisecond)),
 		SizeKB: f.number("Footprint-Kb", leastFootprint, maxFootprint)}
 	f.number("Priority-Rank", 0, 1, 0)
 	if len(s.tenants) > 0 {
@@ -121,7 +137,8 @@
 	set := s.told.Module
 	switch effect := set.Classes[class].Effect; {
 	case effect == tillerusher.Keyed:
-		t.keyed, t.once, t.key = true, true, keyID{class, f.hex("Once-Key", 32)}
+		t.keyed, t.once, t.key = true, true, keyID{class, strings.ToLower(f.hex("Once-Key", 32))}
+		t.sum = maphash.Bytes(s.sums, r.Body)
 	case effect == tillerusher.Unsafe:
 		t.once = true
 	case r.Fields["resource-key"] != "":
@@ -138,8 +155,7 @@
 		return nil, q, f.err
 	}
 	// The time that a request lay unread counts: its caller waits since Received-At.
-	t.stamp = time.UnixMilli(int64(stamp))
-	q.Waited = max(s.loop.Now().Round(0).Sub(t.stamp), 0)
+	q.Waited = max(unix.Sub(t.stamp), 0)
 	t.arrived = now - q.Waited
 	return t, q, nil
 }
