Read the cores as full by what wants one now, not by a mean of half a second

Checked: the interpreter reads requests promptly while 12 run (0.03 s), so the crowd slowed the reading; the link was in step all the time, and the gauges came with each timer.

At fault: policy.go's pressed, adjust, hopeless and say went by cpu_busy, the mean of the last half second. Runs take 45 ms here: for ten of them the gauge still reads room, the limit grows by two a second and refusals start when the hold can't be saved. The gauges also tell what wants a core at this moment; it decides where it is told.

--- a/host_test.go
+++ b/host_test.go
@@ -330,7 +330,7 @@
 		for j := 0; j < len(h.wake); j++ {
 			if h.wake[j] <= h.now {
 				h.wake = append(h.wake[:j], h.wake[j+1:]...)
-				h.in.Timer(h.now, 0, Gauges{Busy: h.rng.Float64() + 0.3})
+				h.in.Timer(h.now, 0, Gauges{Busy: h.rng.Float64() + 0.3, Runnable: -1})
 				j--
 			}
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,10 +78,14 @@
 
 // Read names the gauges of a reading.
 func (t *Told) Read(values []float64) tillerusher.Gauges {
-	g := tillerusher.Gauges{Busy: -1}
+	g := tillerusher.Gauges{Busy: -1, Runnable: -1}
 	for i, name := range t.Gauges {
-		if i < len(values) && name == "cpu_busy" {
+		switch {
+		case i >= len(values):
+		case name == "cpu_busy":
 			g.Busy = values[i]
+		case name == "runnable":
+			g.Runnable = values[i]
 		}
 	}
 	return g
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,7 +41,11 @@
 	if g := told.Read([]float64{0.25, 3}); g.Busy != 0.25 {
 		t.Errorf("reading %+v", g)
 	}
-	if g := told.Read(nil); g.Busy >= 0 {
+	told.Gauges = []string{"runnable", "cpu_busy"}
+	if g := told.Read([]float64{7, 0.25}); g.Busy != 0.25 || g.Runnable != 7 {
+		t.Errorf("reading in another order %+v", g)
+	}
+	if g := told.Read(nil); g.Busy >= 0 || g.Runnable >= 0 {
 		t.Errorf("a reading that was not told is %+v", g)
 	}
 	bad := strings.Replace(settingsExample, `"drop"`, `"melt"`, 1)
--- a/internal/testkit/interpreter.go
+++ b/internal/testkit/interpreter.go
@@ -221,7 +221,7 @@
 		it.end(m.ID, "STOPPED", nil)
 	case "TOP":
 		if !it.mute {
-			it.write(message{Op: "TOPS", Tag: m.Tag, Values: []float64{it.busy, 0, 0, 0}})
+			it.write(message{Op: "TOPS", Tag: m.Tag, Values: []float64{it.busy, float64(len(it.running)), 0, 0}})
 		}
 	case "SMOKE":
 		if !it.mute {
--- a/policy.go
+++ b/policy.go
@@ -126,6 +126,7 @@
 	coreClock float64 // core time of a request that had always been running, in seconds
 	progress  float64 // the core clock at the last end of a run or part
 	busy      float64 // the core gauge
+	runnable  float64 // what wants a core at this moment; negative = not told
 	limit     float64 // running requests wanted
 
 	callTime float64 // seconds of a usual call
@@ -144,7 +145,7 @@
 	}
 	in := &Instance{set: s, do: a, byID: map[RequestID]*request{}, unrun: map[RequestID]bool{},
 		keys: make([][]*key, len(s.Classes)), classes: make([]classStats, len(s.Classes)),
-		limit: float64(s.Cores), weight: 1, said: -1, healthy: true}
+		limit: float64(s.Cores), runnable: -1, weight: 1, said: -1, healthy: true}
 	for _, c := range s.Classes {
 		in.longestAim = max(in.longestAim, c.Aim)
 	}
@@ -244,8 +245,17 @@
 	return sum / float64(in.set.Cores)
 }
 
+// full tells whether the cores read fully busy. The gauge of what wants a core now decides where it is told:
+// the other averages half a second, in which short runs go from idle cores to a hold that is late as a whole.
+func (in *Instance) full() bool {
+	if in.runnable >= 0 {
+		return in.runnable >= float64(in.set.Cores)
+	}
+	return in.busy >= busyFull
+}
+
 // pressed is the sign under which arrivals are refused: work is held and the cores read full.
-func (in *Instance) pressed() bool { return len(in.hold) > 0 && in.busy >= busyFull }
+func (in *Instance) pressed() bool { return len(in.hold) > 0 && in.full() }
 
 // excess counts the arrival and returns its tenant's rate over its threshold at a full aim of predicted wait.
 // Where there are no tenants it goes by callers, whose slice is the rate of ended runs over the live callers.
@@ -641,7 +651,7 @@
 	}
 	in.nextGlance = now + glance
 	if g.Busy >= 0 {
-		in.busy = g.Busy
+		in.busy, in.runnable = g.Busy, g.Runnable
 	}
 	if len(in.set.Tenants) == 0 {
 		in.live = 0
@@ -675,9 +685,9 @@
 // adjust moves the running limit by the core gauge.
 func (in *Instance) adjust() {
 	switch {
-	case in.busy < busyRoom && len(in.hold) > 0:
+	case !in.full() && (in.runnable >= 0 || in.busy < busyRoom) && len(in.hold) > 0:
 		in.limit += float64(in.set.Cores) / 8
-	case in.busy >= busyFull:
+	case in.full():
 		in.limit -= float64(in.set.Cores) / 2
 	}
 	in.limit = min(max(in.limit, float64(in.set.Cores)), max(in.crowd(), 1))
@@ -730,7 +740,7 @@
 		least = 0 // it can't even read what comes: whatever more came would be late when it is read
 	}
 	switch {
-	case in.busy >= busyFull && wait > 0.1:
+	case in.full() && wait > 0.1:
 		in.weight = max(in.weight*0.96, least)
 	case wait < 0.05:
 		in.weight = min(in.weight+0.02, 1)
@@ -875,7 +885,7 @@
 	if in.now+in.ownTime(r) > r.due || in.now > r.useful && in.set.Classes[r.class].LateWorth == 0 {
 		return true
 	}
-	return in.tardy(r) && in.busy >= busyFull
+	return in.tardy(r) && in.full()
 }
 
 // best picks the next to run: first those that can still be on time, among them those within their tenant's
--- a/policy_test.go
+++ b/policy_test.go
@@ -517,7 +517,7 @@
 	for i := 0; i < 40; i++ { // a long trouble
 		now += 100 * ms
 		rec.lines = nil
-		in.Timer(now, 0, Gauges{Busy: 1})
+		in.Timer(now, 0, Gauges{Busy: 1, Runnable: -1})
 		in.Settle(now)
 		for _, l := range rec.lines {
 			if strings.HasPrefix(l, "log ") {
@@ -534,7 +534,7 @@
 		t.Errorf("actions %q", got)
 	}
 	in.Done(now, 1000, OK)
-	in.Timer(now+100*ms, 0, Gauges{Busy: 1})
+	in.Timer(now+100*ms, 0, Gauges{Busy: 1, Runnable: -1})
 	if in.stalled {
 		t.Error("an end of a run did not end the stall")
 	}
@@ -549,7 +549,7 @@
 		in.Done(0, id, OK)
 	}
 	fill(in, rec, 0, 0)
-	in.Timer(5*time.Second, 0, Gauges{Busy: 1})
+	in.Timer(5*time.Second, 0, Gauges{Busy: 1, Runnable: -1})
 	if in.stalled {
 		t.Error("a pause of the whole process was taken for a stall of its work")
 	}
@@ -560,7 +560,7 @@
 	fill(in, rec, 0, 0)
 	in.Done(10*ms, 1000, OK)
 	for now := 100 * ms; now <= 700*ms; now += 100 * ms {
-		in.Timer(now, 0, Gauges{Busy: 1})
+		in.Timer(now, 0, Gauges{Busy: 1, Runnable: -1})
 	}
 	if in.stalled {
 		t.Error("one short run and half a second without an end were taken for a stall")
@@ -678,7 +678,7 @@
 	}
 	in.classes[0].run = 1
 	rec.take()
-	in.Timer(10100*ms, 0, Gauges{Busy: 1})
+	in.Timer(10100*ms, 0, Gauges{Busy: 1, Runnable: -1})
 	expect(t, rec, "say", "say 0.000")
 }
 
@@ -783,7 +783,7 @@
 		in, rec := start(t, s)
 		in.learn(0, 1, 1)
 		in.Drain(0, 4*time.Second)
-		in.Timer(0, 0, Gauges{Busy: 0.5})
+		in.Timer(0, 0, Gauges{Busy: 0.5, Runnable: -1})
 		expect(t, rec, "say", want...)
 	}
 }
@@ -873,7 +873,7 @@
 	in.Settle(0)
 	rec.take()
 	for now := 100 * ms; !in.stalled && now < 5*time.Second; now += 100 * ms {
-		in.Timer(now, 0, Gauges{Busy: 1})
+		in.Timer(now, 0, Gauges{Busy: 1, Runnable: -1})
 		in.Settle(now)
 	}
 	expect(t, rec, "fail refuse", "fail 50")
@@ -960,9 +960,37 @@
 		}
 		in.nextGlance = 0
 		rec.take()
-		in.Timer(0, 0, Gauges{Busy: 0.5})
+		in.Timer(0, 0, Gauges{Busy: 0.5, Runnable: -1})
 		in.nextGlance = 0
-		in.Timer(0, 0, Gauges{Busy: 0.5})
+		in.Timer(0, 0, Gauges{Busy: 0.5, Runnable: -1})
 		expect(t, rec, "idle", c.want...)
 	}
 }
+
+// TestFullNow goes by what wants a core at this moment: the mean of half a second still reads room when a hold of
+// many short runs is late as a whole, and has the limit grow into a crowd that is slower for all.
+func TestFullNow(t *testing.T) {
+	in, rec := start(t, testSettings())
+	for id := RequestID(1); id <= 10; id++ {
+		in.learn(0, 0.1, 0.1)
+	}
+	n := fill(in, rec, 0, 0)
+	for i := range 40 {
+		in.Request(0, ask(RequestID(2000+i), 0))
+	}
+	in.Settle(0)
+	limit := in.limit
+	in.Timer(100*ms, 0, Gauges{Busy: 0.5, Runnable: float64(n)})
+	in.Settle(100 * ms)
+	rec.take()
+	in.Request(100*ms, ask(50, 0))
+	if got := strings.Join(rec.take("refuse"), ","); !strings.Contains(got, "refuse 50 ") || in.limit != limit {
+		t.Errorf("cores full at this moment: actions %q, limit %v, want a refusal and %v", got, in.limit, limit)
+	}
+	in.Timer(200*ms, 0, Gauges{Busy: 1, Runnable: 1})
+	in.Settle(200 * ms)
+	in.Request(200*ms, ask(51, 0))
+	if got := strings.Join(rec.take("refuse"), ","); got != "" || in.limit <= limit {
+		t.Errorf("cores with room at this moment: actions %q, limit %v", got, in.limit)
+	}
+}
--- a/server/timer.go
+++ b/server/timer.go
@@ -19,7 +19,7 @@
 			s.module.Timer(s.event(), token, g)
 		}
 	}
-	none := tillerusher.Gauges{Busy: -1}
+	none := tillerusher.Gauges{Busy: -1, Runnable: -1}
 	if !s.link.Ready() {
 		end(none)
 		return
--- a/tillerusher.go
+++ b/tillerusher.go
@@ -122,7 +122,8 @@
 
 // Gauges are the server's own readings, which come with each Timer. A reading the host lacks is negative.
 type Gauges struct {
-	Busy float64 // busy part of the cores, 0 to 1, over the last half second
+	Busy     float64 // busy part of the cores, 0 to 1, over the last half second
+	Runnable float64 // what wants a core now: runs, reading, checks and new connections
 }
 
 // Outcome is how a run or a call ended.
