Close silent and unfinished callers, answer long bodies at once, make room for gateways

Ruled out: a slow loop (0.07 of a core at most in a second).

At fault: server/gateway.go closed connections only by the module's idle time, which counts from the last byte and spares begun requests; a body over its limit was answered at its end, which may never come; Feed's error closed the socket at once, with a reset over answers that were under way; loop.Conn.read let a round's arena grow by 32 KB for every ready connection (8 MB and more), and the same order of reading each round would have starved those behind; unsent bytes had a bound for each connection only.

Now: 2.5 s for a whole request, an early 413 and 64 KB of what belongs to no request, an end of the sending side with a second of reading on, room made by silent and long resting connections, a fixed arena read in turn, one bound for untaken bytes, and output buffers that idle connections hand back.

--- /dev/null
+++ b/cmd/tillerusher/rude_test.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bytes"
+	"syscall"
+	"testing"
+	"time"
+
+	"tillerusher/internal/testkit"
+)
+
+// TestUnfinished has callers that are silent or stop half way, next to a gateway that pauses: they are closed
+// within 3 s, and it is not.
+func TestUnfinished(t *testing.T) {
+	n := start(t, prompt)
+	sound := testkit.Dial(t, n.Addr)
+	whole := testkit.Lookup("x").Records(1)
+	sound.Write(whole[:40])
+	begun := time.Now()
+	silent, half, cut := testkit.Dial(t, n.Addr), testkit.Dial(t, n.Addr), testkit.Dial(t, n.Addr)
+	half.Write(whole[:len(whole)-8])
+	cut.Write(testkit.Lookup("").Records(1))
+	if a := cut.Answer(1); a.Status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+	cut.Write(testkit.Lookup("").Records(2)[:20])
+	testkit.Wait(t, "a pause", func() bool { return time.Since(begun) > 500*time.Millisecond })
+	sound.Write(whole[40:])
+	if a := sound.Answer(1); a.Status != 200 {
+		t.Errorf("answer to the gateway that paused %+v", a)
+	}
+	for what, g := range map[string]*testkit.Gateway{"silent": silent, "half a request": half, "half a second request": cut} {
+		g.Ended()
+		if took := time.Since(begun); took < 2*time.Second {
+			t.Errorf("%s: closed after %v, too soon for a gateway that pauses", what, took)
+		}
+	}
+	n.WaitCounter("unfinished", 3)
+	sound.Write(testkit.Lookup("").Records(2))
+	if a := sound.Answer(2); a.Status != 200 {
+		t.Errorf("answer to the gateway %+v", a)
+	}
+}
+
+// TestEndless sends a body without end at full speed: it is answered at once, the answer arrives, and the
+// connection ends without the body being read whole.
+func TestEndless(t *testing.T) {
+	n := start(t, prompt)
+	g := testkit.Dial(t, n.Addr)
+	r := testkit.Lookup("")
+	g.Write(testkit.BeginRecord(1, 1, true), testkit.Record(testkit.Params, 1, r.ParamBytes(), 0), testkit.Record(testkit.Params, 1, nil, 0))
+	g.Write(bytes.Repeat(testkit.Record(testkit.Stdin, 1, make([]byte, 65000), 0), 100))
+	if a := g.Answer(1); a.Status != 413 {
+		t.Errorf("answer %+v", a)
+	}
+	g.Ended()
+	n.WaitCounter("broken", 1)
+}
+
+// TestCrowd has hundreds connect and stay silent, or ask once and stay, where descriptors are few: gateways still
+// get in and are served, and one that was there before is left alone.
+func TestCrowd(t *testing.T) {
+	it := testkit.NewInterpreter(t)
+	it.Prompt()
+	n := testkit.Start(t, program, it, func(c map[string]any) {
+		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 32, "sockets": 64}
+	})
+	n.WaitUp()
+	resident := testkit.Dial(t, n.Addr)
+	serve := func(g *testkit.Gateway) {
+		t.Helper()
+		g.Write(testkit.Lookup("").Records(1))
+		if a := g.Answer(1); a.Status != 200 {
+			t.Errorf("answer %+v", a)
+		}
+	}
+	for range 10 {
+		for range 20 {
+			testkit.Dial(t, n.Addr)
+		}
+		for range 10 { // ask once and stay, those that get in
+			g := testkit.Dial(t, n.Addr)
+			g.Write(testkit.Lookup("").Records(1))
+			g.TryAnswer(1)
+		}
+		testkit.Wait(t, "a newcomer to be served", func() bool {
+			g := testkit.Dial(t, n.Addr)
+			g.Write(testkit.Lookup("").Records(1))
+			_, err := g.TryAnswer(1)
+			return err == nil
+		})
+		serve(resident)
+	}
+	n.Signal(syscall.SIGUSR1)
+	testkit.Wait(t, "the counters", func() bool { return n.Counter("made_room") > 0 })
+}
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -1,6 +1,7 @@
 package fastcgi
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -13,6 +14,16 @@
 // errFinished ends the parsing of a connection that is to be closed.
 var errFinished = errors.New("fastcgi: connection finished")
 
+// errExcess ends a connection on which nothing but what belongs to no request comes.
+var errExcess = errors.New("fastcgi: too much that belongs to no request")
+
+// maxExcess is how many bytes are passed over between two whole requests: the rest of a body that was turned away
+// for its length, and records of requests that have ended. A body without end is over it at once.
+const maxExcess = 64 << 10
+
+// keepControl is the largest buffer for management records that a connection keeps.
+const keepControl = 64
+
 // Limits bound what one session takes in.
 type Limits struct {
 	Requests int // requests open at a time
@@ -45,15 +56,17 @@
 	parse    parser
 	open     map[uint16]*request
 	control  []byte // content of a BEGIN_REQUEST or management record
+	excess   int    // bytes passed over since the last whole request
+	coming   int    // open requests that have not come whole
 	finished bool
-	buf      []byte
+	buf      *[]byte // where answers are put together, for all sessions
 }
 
 // New returns a protocol whose sessions keep to the limits.
 func New(l Limits) front.Protocol {
-	memory := &budget{l.Memory}
+	memory, buf := &budget{l.Memory}, new([]byte)
 	return func(out front.Output, h front.Handler) front.Session {
-		return &Session{limits: l, memory: memory, out: out, handler: h, open: map[uint16]*request{}}
+		return &Session{limits: l, memory: memory, out: out, handler: h, open: map[uint16]*request{}, buf: buf}
 	}
 }
 
@@ -71,6 +84,9 @@
 // Open implements front.Session.
 func (s *Session) Open() int { return len(s.open) }
 
+// Unfinished implements front.Session.
+func (s *Session) Unfinished() bool { return s.coming > 0 || s.parse.inside || s.parse.have > 0 }
+
 // Finished implements front.Session. Requests that were still coming are given up with the connection.
 func (s *Session) Finished() bool {
 	if !s.finished {
@@ -88,14 +104,18 @@
 func (s *Session) part(r record, p []byte) {
 	q := s.open[r.id]
 	switch {
-	case r.kind == typeParams && q != nil && !q.paramsDone:
+	case r.kind == typeParams && q != nil && !q.paramsDone && !q.handed:
 		q.params = s.grow(q, q.params, p, s.limits.Params)
 	case r.kind == typeStdin && q != nil && !q.handed:
 		q.body = s.grow(q, q.body, p, s.limits.Body)
-	case r.kind == typeBegin || r.id == 0:
-		if len(s.control)+len(p) <= s.limits.Params {
-			s.control = append(s.control, p...)
-		}
+	case (r.kind == typeBegin || r.id == 0) && len(s.control)+len(p) <= s.limits.Params:
+		s.control = append(s.control, p...)
+	default:
+		s.excess += len(p)
+	}
+	// A request that is over a limit is answered at once: its end may be far away, or never come.
+	if q != nil && q.flawed && !q.handed {
+		s.complete(r.id, q)
 	}
 }
 
@@ -125,11 +145,14 @@
 // end acts on a whole record. What follows the record that ends the connection is not looked at, in the same
 // read as in a later one.
 func (s *Session) end(r record) error {
-	if err := s.act(r); err != nil {
+	err := s.act(r)
+	switch {
+	case err != nil:
 		return err
-	}
-	if s.finished {
+	case s.finished:
 		return errFinished
+	case s.excess > maxExcess:
+		return errExcess
 	}
 	return nil
 }
@@ -138,8 +161,11 @@
 // sent them before it saw the end.
 func (s *Session) act(r record) error {
 	control := s.control
-	s.control = s.control[:0]
+	if s.control = s.control[:0]; cap(control) > keepControl {
+		s.control = nil
+	}
 	if r.id == 0 {
+		s.excess += headerSize
 		return s.manage(r, control)
 	}
 	if r.kind == typeBegin {
@@ -147,6 +173,7 @@
 	}
 	q := s.open[r.id]
 	if q == nil {
+		s.excess += headerSize
 		return nil
 	}
 	switch r.kind {
@@ -162,7 +189,8 @@
 		if q.handed {
 			s.handler.Aborted(s, front.Stream(r.id))
 		} else {
-			s.finish(r.id, q, appendEnd(s.buf[:0], r.id, 1, statusComplete))
+			s.coming--
+			s.finish(r.id, q, appendEnd((*s.buf)[:0], r.id, 1, statusComplete))
 		}
 	}
 	return nil
@@ -185,13 +213,14 @@
 		s.reject(r.id, keep, front.TooMany, statusOverloaded)
 	default:
 		s.open[r.id] = &request{keep: keep}
+		s.coming++
 	}
 	return nil
 }
 
 // reject ends a request that was not opened.
 func (s *Session) reject(id uint16, keep bool, f front.Flaw, status byte) {
-	s.out.Write(appendEnd(s.buf[:0], id, 1, status))
+	s.write(appendEnd((*s.buf)[:0], id, 1, status))
 	s.finished = s.finished || !keep
 	s.handler.Rejected(f)
 }
@@ -199,6 +228,7 @@
 // complete hands over a request whose last byte came, or what is wrong with it.
 func (s *Session) complete(id uint16, q *request) {
 	q.handed = true
+	s.coming--
 	r := front.Request{Body: q.body, Fields: make(map[string]string, 16)}
 	if !q.paramsDone {
 		q.spoil(front.Malformed)
@@ -208,9 +238,11 @@
 	}
 	q.params = nil
 	if q.flawed {
+		q.body = nil
 		s.handler.Flawed(s, front.Stream(id), q.flaw)
 		return
 	}
+	s.excess = 0
 	s.handler.Request(s, front.Stream(id), r)
 }
 
@@ -238,24 +270,35 @@
 		return
 	}
 	if a.Overloaded {
-		s.finish(id, q, appendEnd(s.buf[:0], id, 1, statusOverloaded))
+		s.finish(id, q, appendEnd((*s.buf)[:0], id, 1, statusOverloaded))
 		return
 	}
-	text := make([]byte, 0, 128+len(a.Body))
-	text = append(append(text, "Status: "...), strconv.Itoa(a.Status)...)
-	text = append(text, "\r\n"...)
+	b := appendHeader((*s.buf)[:0], typeStdout, id, 0)
+	b = append(append(b, "Status: "...), strconv.Itoa(a.Status)...)
+	b = append(b, "\r\n"...)
 	for _, f := range a.Fields {
-		text = append(append(append(append(text, f.Name...), ": "...), f.Value...), "\r\n"...)
+		b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	if len(b)-headerSize+len(a.Body) <= maxContent {
+		b = append(b, a.Body...)
+		binary.BigEndian.PutUint16(b[4:], uint16(len(b)-headerSize))
+		b = appendHeader(b, typeStdout, id, 0)
+	} else {
+		b = appendStream((*s.buf)[:0], typeStdout, id, append(bytes.Clone(b[headerSize:]), a.Body...))
 	}
-	text = append(append(text, "\r\n"...), a.Body...)
-	s.buf = appendStream(s.buf[:0], typeStdout, id, text)
-	s.finish(id, q, appendEnd(s.buf, id, 0, statusComplete))
+	s.finish(id, q, appendEnd(b, id, 0, statusComplete))
+}
+
+// write sends records that were put together in the buffer of all sessions, and keeps that.
+func (s *Session) write(records []byte) {
+	s.out.Write(records)
+	*s.buf = records[:0]
 }
 
 // finish writes a request's last records and closes it.
 func (s *Session) finish(id uint16, q *request, records []byte) {
-	s.out.Write(records)
-	s.buf = records[:0]
+	s.write(records)
 	delete(s.open, id)
 	s.memory.left += q.booked
 	s.finished = s.finished || !q.keep
@@ -267,14 +310,14 @@
 		delete(s.open, id)
 		s.memory.left += q.booked
 	}
-	s.finished = true
+	s.finished, s.coming = true, 0
 }
 
 // manage answers a management record.
 func (s *Session) manage(r record, content []byte) error {
 	if r.kind != typeGetValues {
-		b := appendHeader(s.buf[:0], typeUnknown, 0, 8)
-		s.out.Write(append(b, r.kind, 0, 0, 0, 0, 0, 0, 0))
+		b := appendHeader((*s.buf)[:0], typeUnknown, 0, 8)
+		s.write(append(b, r.kind, 0, 0, 0, 0, 0, 0, 0))
 		return nil
 	}
 	var reply []byte
@@ -289,6 +332,6 @@
 	if err != nil {
 		return err
 	}
-	s.out.Write(append(appendHeader(s.buf[:0], typeGetValuesResult, 0, len(reply)), reply...))
+	s.write(append(appendHeader((*s.buf)[:0], typeGetValuesResult, 0, len(reply)), reply...))
 	return nil
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,7 +40,8 @@
 	Request(s Session, id Stream, r Request)
 	// Aborted says that the gateway gave up an open request, which is still owed its Answer.
 	Aborted(s Session, id Stream)
-	// Flawed says that a request came in whole but can't be handed over; it is owed its Answer all the same.
+	// Flawed says that a request can't be handed over; it is owed its Answer all the same, and what may still
+	// come of it is passed over.
 	Flawed(s Session, id Stream, f Flaw)
 	// Rejected says that the session itself turned a request away at its first record.
 	Rejected(f Flaw)
@@ -57,6 +58,8 @@
 	Answer(id Stream, a Answer)
 	// Open is how many requests were begun and are not answered.
 	Open() int
+	// Unfinished tells whether something was begun that has not come whole.
+	Unfinished() bool
 	// Close gives up what is still coming: the connection has ended.
 	Close()
 	// Finished tells whether the connection is to be closed once its output is sent.
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -19,6 +20,11 @@
 	Closed(c *Conn, err error)
 }
 
+var (
+	errLingered = errors.New("loop: the peer went on after the end")
+	errUntaken  = errors.New("loop: too much waits for peers that do not read")
+)
+
 // Conn is one non-blocking stream connection.
 type Conn struct {
 	loop       *Loop
@@ -29,8 +35,11 @@
 	answered   bool // the outcome of the call is known
 	closed     bool
 	dirty      bool
-	closing    bool // close once all is sent
-	from, to   int  // what this round read, in the loop's arena
+	closing    bool // end once all is sent
+	lingering  bool // ended by this side: what the peer still sends is thrown away
+	left       int  // bytes of out that the last write did not take
+	linger     *Timer
+	from, to   int // what this round read, in the loop's arena
 	err        error
 	out        []byte
 	active     time.Time
@@ -90,7 +99,11 @@
 		c.err, c.answered = err, true
 		return
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+	switch {
+	case events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) == 0:
+	case c.lingering:
+		c.discard()
+	default:
 		c.read()
 	}
 	if events&unix.EPOLLOUT != 0 {
@@ -98,12 +111,13 @@
 	}
 }
 
-// read takes what is there into the loop's arena.
+// read takes what is there into the loop's arena. Where that is full the rest waits for the next round.
 func (c *Conn) read() {
 	l := c.loop
 	start := len(l.arena)
 	if cap(l.arena)-start < readSize {
-		l.arena = append(make([]byte, 0, 2*cap(l.arena)+2*readSize), l.arena...)
+		l.full = true
+		return
 	}
 	n, err := unix.Read(c.fd, l.arena[start:start+readSize])
 	switch {
@@ -118,6 +132,24 @@
 	}
 }
 
+// discard throws away what the peer still sends, so that closing the socket does not reset the connection and
+// take with it the answer that the peer has not read yet.
+func (c *Conn) discard() {
+	for range lingerReads {
+		n, err := unix.Read(c.fd, c.loop.waste[:])
+		switch {
+		case err == unix.EAGAIN || err == unix.EINTR:
+			return
+		case err != nil:
+			c.err = err
+			return
+		case n == 0:
+			c.err = io.EOF
+			return
+		}
+	}
+}
+
 // report implements source.
 func (c *Conn) report() {
 	from, to, err := c.from, c.to, c.err
@@ -144,7 +176,10 @@
 
 // Write queues bytes, which go out at the end of the round.
 func (c *Conn) Write(p []byte) {
-	if !c.closed {
+	if !c.closed && !c.lingering {
+		if c.out == nil {
+			c.out = c.loop.buffer()
+		}
 		c.out = append(c.out, p...)
 		c.touch()
 	}
@@ -161,15 +196,13 @@
 // flush sends what is queued.
 func (c *Conn) flush() {
 	c.dirty = false
-	if c.closed || c.connecting {
+	if c.closed || c.connecting || c.lingering {
 		return
 	}
 	if len(c.out) > 0 {
 		n, err := unix.Write(c.fd, c.out)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
-			// The owner has settled this round: it hears of the end in the next.
-			c.err = err
-			c.loop.failed = append(c.loop.failed, c)
+			c.fail(err)
 			return
 		}
 		if n > 0 {
@@ -177,18 +210,60 @@
 			c.out = c.out[:copy(c.out, c.out[n:])]
 		}
 	}
-	if len(c.out) == 0 && c.closing {
-		c.err = io.EOF
-		c.loop.failed = append(c.loop.failed, c)
+	c.keep(len(c.out))
+	switch {
+	case len(c.out) > 0 && c.loop.untaken > c.loop.most && len(c.out) > c.loop.most/untakenParts:
+		c.fail(errUntaken)
+		return
+	case len(c.out) > 0:
+	case c.closing:
+		c.release()
+		c.startLinger()
 		return
+	default:
+		c.release() // idle connections are many and must hold no buffers
 	}
 	c.rewatch()
 }
 
+// fail reports the end of the connection in the next round: its owner has settled this one.
+func (c *Conn) fail(err error) {
+	c.err = err
+	c.loop.failed = append(c.loop.failed, c)
+}
+
+// keep notes how much of the output the peer has not taken.
+func (c *Conn) keep(left int) {
+	c.loop.untaken += left - c.left
+	c.left = left
+}
+
+// release hands the empty output buffer back.
+func (c *Conn) release() {
+	c.loop.reuse(c.out)
+	c.out = nil
+}
+
+// startLinger ends this side of the connection and waits a while for the end of the other.
+func (c *Conn) startLinger() {
+	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
+		c.fail(err)
+		return
+	}
+	c.lingering = true
+	c.rewatch()
+	c.linger = c.loop.After(lingerMost, func() {
+		if !c.closed {
+			c.Close()
+			c.handler.Closed(c, errLingered)
+		}
+	})
+}
+
 // rewatch registers the connection for what it waits for: a peer that does not take its answers is not read.
 func (c *Conn) rewatch() {
 	var events uint32
-	if len(c.out) < highWater && !c.closing {
+	if len(c.out) < highWater && !c.closing || c.lingering {
 		events |= unix.EPOLLIN
 	}
 	if len(c.out) > 0 {
@@ -218,17 +293,26 @@
 // Unsent is how many bytes wait to be sent.
 func (c *Conn) Unsent() int { return len(c.out) }
 
-// CloseSent closes the connection once all that is queued is sent, and then tells its handler; it is not read
-// any more.
+// CloseSent ends the connection once all that is queued is sent. What still comes is thrown away until the peer
+// ends it too, or for a short time; then its handler is told.
 func (c *Conn) CloseSent() {
 	c.closing = true
 	c.touch()
 }
 
+// Closing tells whether CloseSent was called.
+func (c *Conn) Closing() bool { return c.closing }
+
+// Active is when something last came or went.
+func (c *Conn) Active() time.Time { return c.active }
+
 // Close closes the connection now, without a word to its handler.
 func (c *Conn) Close() {
 	if !c.closed {
 		c.closed = true
+		c.loop.Cancel(c.linger)
+		c.keep(0)
+		c.out = nil
 		c.loop.drop(c.fd)
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,6 +16,17 @@
 	maxEvents = 256      // ready descriptors of one round
 	readSize  = 32 << 10 // bytes read from one connection in a round
 	highWater = 64 << 10 // unsent bytes over which a connection is not read
+	// arenaSize bounds what one round reads from all connections: a flood of them must neither take the memory
+	// nor hold up a round for long.
+	arenaSize = 16 * readSize
+	// untakenParts is the part of the memory for output that a connection may hold while that is used up.
+	untakenParts = 512
+	// lingerMost is how long a connection that this side has ended is still read, and lingerReads how many
+	// reads it gets in a round.
+	lingerMost  = time.Second
+	lingerReads = 8
+	// The output buffers that are kept for use again: so many, and none that grew beyond a few answers.
+	spareBuffers, spareSize = 64, 16 << 10
 )
 
 // source is what stands behind a registered descriptor.
@@ -30,6 +41,12 @@
 	sources     map[int]source
 	ready       []source
 	arena       []byte // what this round read
+	full        bool   // the arena had no room for all of it
+	turn        int    // where the next round begins to read
+	waste       [readSize]byte
+	spare       [][]byte // empty output buffers
+	untaken     int      // bytes that peers have not taken
+	most        int      // untaken bytes over which peers that hold many of them are cut off
 	dirty       []*Conn
 	failed      []source // connections that could not be written to, to be reported next
 	now         time.Time
@@ -41,8 +58,9 @@
 	closed bool
 }
 
-// New returns a loop whose timers fire on the tick.
-func New(tick time.Duration) (*Loop, error) {
+// New returns a loop whose timers fire on the tick, and which keeps about so many bytes at most for peers that
+// do not read.
+func New(tick time.Duration, untaken int) (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("loop: epoll: %w", err)
@@ -53,7 +71,8 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	now := time.Now()
-	l := &Loop{epoll: epoll, wake: wake, sources: map[int]source{}, now: now, wheel: newWheel(tick, now)}
+	l := &Loop{epoll: epoll, wake: wake, sources: map[int]source{}, now: now, wheel: newWheel(tick, now),
+		arena: make([]byte, 0, arenaSize), most: untaken}
 	if err := l.add(wake, unix.EPOLLIN, wakeup{l}); err != nil {
 		l.Close()
 		return nil, err
@@ -113,12 +132,19 @@
 		}
 		l.ready, l.arena = append(l.ready[:0], l.failed...), l.arena[:0]
 		l.failed = l.failed[:0]
-		for _, e := range events[:max(n, 0)] {
+		n = max(n, 0)
+		for i := range n {
+			// Were the order the same each time, a few that never pause could keep all others from being read.
+			e := events[(i+l.turn)%n]
 			if s := l.sources[int(e.Fd)]; s != nil {
 				s.gather(e.Events)
 				l.ready = append(l.ready, s)
 			}
 		}
+		if l.full {
+			l.full = false
+			l.turn += arenaSize / readSize
+		}
 		l.now = time.Now()
 		for _, s := range l.ready {
 			s.report()
@@ -138,6 +164,24 @@
 	l.dirty = l.dirty[:0]
 }
 
+// buffer returns an empty output buffer.
+func (l *Loop) buffer() []byte {
+	n := len(l.spare)
+	if n == 0 {
+		return make([]byte, 0, 512)
+	}
+	b := l.spare[n-1]
+	l.spare = l.spare[:n-1]
+	return b
+}
+
+// reuse keeps an output buffer for later.
+func (l *Loop) reuse(b []byte) {
+	if cap(b) > 0 && cap(b) <= spareSize && len(l.spare) < spareBuffers {
+		l.spare = append(l.spare, b[:0])
+	}
+}
+
 // add registers a descriptor.
 func (l *Loop) add(fd int, events uint32, s source) error {
 	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
--- a/internal/testkit/gateway.go
+++ b/internal/testkit/gateway.go
@@ -47,6 +47,9 @@
 	return a
 }
 
+// TryAnswer returns the next answer to the request, or why there is none.
+func (g *Gateway) TryAnswer(id uint16) (Answer, error) { return g.read(id) }
+
 // read waits for an answer or the end of the connection.
 func (g *Gateway) read(id uint16) (Answer, error) {
 	buf := make([]byte, 32<<10)
--- a/server/counters.go
+++ b/server/counters.go
@@ -4,7 +4,8 @@
 
 // counters tell what a server took in, sent and answered since its start.
 type counters struct {
-	accepted, turnedAway, acceptErrors, idleClosed, broken, lost uint64 // connections
+	accepted, turnedAway, madeRoom, acceptErrors uint64 // connections
+	idleClosed, unfinished, broken, lost         uint64 // connections that ended, and requests lost with them
 
 	requests, retries, repeats, aborted            uint64 // taken in
 	malformed, tooLarge, tooMany, badRole, invalid uint64 // flawed requests
@@ -26,8 +27,8 @@
 	s.log.Info("counters", zap.String("why", why),
 		zap.Int("connections", len(s.gateways)), zap.Int("open", len(s.tries)), zap.Int("running", s.link.Runs()),
 		zap.Int("keys", len(s.keys.entries)), zap.Int("result_bytes", s.keys.bytes),
-		u("accepted", c.accepted), u("turned_away", c.turnedAway), u("accept_errors", c.acceptErrors),
-		u("idle_closed", c.idleClosed), u("broken", c.broken), u("lost", c.lost),
+		u("accepted", c.accepted), u("turned_away", c.turnedAway), u("made_room", c.madeRoom), u("accept_errors", c.acceptErrors),
+		u("idle_closed", c.idleClosed), u("unfinished", c.unfinished), u("broken", c.broken), u("lost", c.lost),
 		u("requests", c.requests), u("retries", c.retries), u("repeats", c.repeats), u("aborted", c.aborted),
 		u("malformed", c.malformed), u("too_large", c.tooLarge), u("too_many", c.tooMany), u("bad_role", c.badRole),
 		u("invalid", c.invalid),
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -16,17 +16,18 @@
 	session front.Session
 	tries   map[front.Stream]*try
 	smokes  map[front.Stream]bool // deep health checks under way
-	used    bool                  // it has carried something
+	since   time.Time             // when what has not come whole was begun; zero = nothing
+	sound   uint64                // requests that came whole and made sense
 }
 
 // accept takes in a new connection, while descriptors are left for everything else.
 func (s *Server) accept(c *loop.Conn) loop.ConnHandler {
-	if len(s.gateways) >= s.cfg.Limits.Sockets-spareSockets {
+	if len(s.gateways) >= s.cfg.Limits.Sockets-spareSockets && !s.makeRoom() {
 		s.count.turnedAway++
 		return nil
 	}
 	s.count.accepted++
-	g := &gateway{server: s, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}}
+	g := &gateway{server: s, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}, since: s.loop.Now()}
 	g.session = s.protocol(c, g)
 	s.gateways[g] = true
 	return g
@@ -43,16 +44,33 @@
 
 // Data implements loop.ConnHandler.
 func (g *gateway) Data(_ *loop.Conn, p []byte) {
-	g.used = true
+	sound := g.sound
 	if g.session.Feed(p) != nil {
 		g.server.count.broken++
-		g.conn.Close()
-		g.end()
+		g.finish()
 		return
 	}
+	switch {
+	case g.sound > 0 && !g.session.Unfinished():
+		g.since = time.Time{}
+	case g.since.IsZero() || g.sound != sound:
+		g.since = g.server.loop.Now()
+	}
 	g.closeFinished()
 }
 
+// finish ends a connection from which nothing can be expected; answers that are on their way still go out.
+func (g *gateway) finish() {
+	g.giveUp()
+	g.conn.CloseSent()
+}
+
+// close ends a connection now.
+func (g *gateway) close() {
+	g.conn.Close()
+	g.end()
+}
+
 // closeFinished closes a connection that the gateway did not want kept, once its answer is sent.
 func (g *gateway) closeFinished() {
 	if g.session.Finished() {
@@ -63,10 +81,15 @@
 // Closed implements loop.ConnHandler.
 func (g *gateway) Closed(*loop.Conn, error) { g.end() }
 
-// end forgets a connection that is gone: nobody waits for its requests any more.
+// end forgets a connection that is gone.
 func (g *gateway) end() {
+	delete(g.server.gateways, g)
+	g.giveUp()
+}
+
+// giveUp forgets the requests of a connection: nobody waits for them any more.
+func (g *gateway) giveUp() {
 	s := g.server
-	delete(s.gateways, g)
 	g.session.Close()
 	for _, t := range sorted(g.tries) {
 		s.count.lost++
@@ -135,38 +158,3 @@
 	g.session.Answer(id, a)
 	g.closeFinished()
 }
-
-// The pace at which idle connections are looked for, and the least time that a connection gets to carry its
-// first request: one that is closed right after the accept would only be made again.
-const (
-	idleScanLeast = 10 * time.Millisecond
-	idleScanMost  = time.Second
-	unusedLeast   = 250 * time.Millisecond
-	// stuckAfter is how long a connection may take none of what is to be sent on it.
-	stuckAfter = 30 * time.Second
-)
-
-// closeIdle closes connections that carried nothing for the time the module set, and looks again later.
-func (s *Server) closeIdle() {
-	for g := range s.gateways {
-		idle := s.idle
-		if !g.used {
-			idle = max(idle, unusedLeast)
-		}
-		if s.idle > 0 && g.session.Open() == 0 && g.conn.Quiet(idle) || g.conn.Stuck(stuckAfter) {
-			s.count.idleClosed++
-			g.conn.Close()
-			g.end()
-		}
-	}
-	s.scanIdle()
-}
-
-// scanIdle sets the time of the next look.
-func (s *Server) scanIdle() {
-	pace := idleScanMost
-	if s.idle > 0 {
-		pace = min(max(s.idle/4, idleScanLeast), idleScanMost)
-	}
-	s.idleScan = s.loop.After(pace, s.closeIdle)
-}
--- a/server/health.go
+++ b/server/health.go
@@ -14,6 +14,7 @@
 // and the setting alone may not answer, by the outcome of a deep check.
 func (s *Server) check(g *gateway, id front.Stream, r front.Request) {
 	s.count.checks++
+	g.sound++
 	query, _ := url.ParseQuery(r.Query) // what is not understood asks for nothing
 	if query.Get("full") != "1" || s.fromStore || !s.healthy {
 		s.checked(g, id, s.healthy)
--- a/server/requests.go
+++ b/server/requests.go
@@ -35,6 +35,7 @@
 		g.answer(id, front.Answer{Status: statusInvalid, Body: []byte(err.Error() + "\n")})
 		return
 	}
+	g.sound++
 	s.lastID++
 	t.id, q.ID, t.from, t.stream = s.lastID, s.lastID, g, id
 	if q.Retry {
--- a/server/server.go
+++ b/server/server.go
@@ -34,6 +34,8 @@
 	resultPart = 8
 	// requestPart is the part of the memory that requests may take which are not answered.
 	requestPart = 8
+	// outputPart is the part of the memory that answers may take which callers do not read.
+	outputPart = 8
 	// keySweep is the time between two looks for entries that ran out.
 	keySweep = time.Second
 	// The limits of the gateways' protocol; the parameters of a request are far smaller than theirs.
@@ -86,7 +88,7 @@
 		return nil, err
 	}
 	told := cfg.Settings
-	l, err := loop.New(min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond))
+	l, err := loop.New(min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond), cfg.Limits.MemoryMB<<20/outputPart)
 	if err != nil {
 		return nil, err
 	}
