--- a/server/try.go
+++ b/server/try.go
@@ -48,9 +48,9 @@
 // The bounds of figures. What is outside is no request of a gateway, and must not reach the module's estimates:
 // one time far in the past would look like a backlog, one in the future would keep a key for good.
 const (
-	leastFootprint, maxFootprint = 1e-6, 2000 // KB
-	maxWork                      = 1e5        // ms
-	maxSender                    = 1 << 16
+	leastFootprint, maxFootprint = 1e-6, 2000  // KB
+	maxWork                      = 1e5         // ms
+	maxSender                    = 1e15        // gateways that restart take new numbers for ever
 	maxAhead                     = time.Second // clocks of two machines differ
 	maxUnread                    = time.Minute // a request may lie unread while the machine pauses
 )
