Dial a lost link again at once, and advise when to come back before the interpreter is up

Checked: interp/dial.go waited a fixed 50 ms after any end of a link, though the address takes the next one at once.

At fault: Dialer.Closed; Server.request answered by hand where the module is not there yet. policy.go swept requests that are over only when something was due, so loops over all ranged over three times as many (probe: 200 known, 30 of them open).

--- a/internal/interp/dial.go
+++ b/internal/interp/dial.go
@@ -8,7 +8,8 @@
 	"tillerusher/internal/loop"
 )
 
-// redial is how long a lost or failed connection is left before the next try.
+// redial is the least time between two tries to connect: a link that stood is made anew at once, since no run
+// starts without it, and one that fails again and again is left alone for a while.
 const redial = 50 * time.Millisecond
 
 // Dialer keeps a Link connected.
@@ -38,12 +39,13 @@
 	if d.stopped {
 		return
 	}
+	d.dialled, d.stands = d.loop.Now(), false
 	conn, err := d.loop.Dial(d.to, d)
 	if err != nil {
 		d.Closed(nil, err)
 		return
 	}
-	d.conn, d.dialled, d.stands = conn, d.loop.Now(), false
+	d.conn = conn
 }
 
 // Move goes on at another address. The connection to the old one ends now, so that it gets nothing new; runs,
@@ -102,7 +104,7 @@
 		d.told = true
 		d.handler.Trouble("interpreter link lost", err)
 	}
-	d.redial = d.loop.After(redial, d.dial)
+	d.redial = d.loop.After(redial-d.loop.Now().Sub(d.dialled), d.dial)
 }
 
 // Close ends the link for good.
--- /dev/null
+++ b/internal/interp/dial_test.go
@@ -0,0 +1,41 @@
+package interp
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"tillerusher/internal/loop"
+)
+
+// TestRedial loses a link that stood: the next is dialled at once, since no run starts until then.
+func TestRedial(t *testing.T) {
+	l, err := loop.New(time.Millisecond, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	d := Dial(l, listener.Addr().(*net.TCPAddr).AddrPort(), newEar(t))
+	defer d.Close()
+	dialled := false
+	l.After(2*redial, func() {
+		d.conn.Close()
+		d.Closed(d.conn, io.EOF)
+		l.After(redial/2, func() { // timers fire in order, however late
+			dialled = d.conn != nil
+			l.Stop()
+		})
+	})
+	if err := l.Run(func() bool { return false }); err != nil {
+		t.Fatal(err)
+	}
+	if !dialled {
+		t.Error("a link that stood was not dialled at once")
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -785,8 +785,8 @@
 func (in *Instance) Settle(now time.Duration) {
 	in.tick(now)
 	in.expireKeys()
-	if now+in.margin() >= in.nextDue {
-		in.sweep()
+	if now+in.margin() >= in.nextDue || len(in.all) > 2*len(in.byID)+64 {
+		in.sweep() // also where most are over: what follows ranges over all
 	}
 	in.giveUp()
 	in.startHeld()
--- a/server/actions.go
+++ b/server/actions.go
@@ -54,11 +54,7 @@
 		a.Fail(id)
 		return
 	}
-	r := front.Answer{Status: statusRefused}
-	if stayAway > 0 {
-		ms := (stayAway + time.Millisecond - 1) / time.Millisecond
-		r.Fields = append(r.Fields, front.Field{Name: "Back-Off-Ms", Value: strconv.FormatInt(int64(ms), 10)})
-	}
+	r := refusal(stayAway)
 	if last {
 		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
 	}
@@ -67,6 +63,16 @@
 	a.drop(t)
 }
 
+// refusal is an answer that says when to come back, where that is honoured.
+func refusal(stayAway time.Duration) front.Answer {
+	r := front.Answer{Status: statusRefused}
+	if stayAway > 0 {
+		ms := (stayAway + time.Millisecond - 1) / time.Millisecond
+		r.Fields = append(r.Fields, front.Field{Name: "Back-Off-Ms", Value: strconv.FormatInt(int64(ms), 10)})
+	}
+	return r
+}
+
 // Fail implements tillerusher.Actions.
 func (a actions) Fail(id tillerusher.RequestID) {
 	if t := a.tries[id]; t != nil && !t.answered {
--- a/server/requests.go
+++ b/server/requests.go
@@ -23,8 +23,9 @@
 	now := s.event()
 	t, q, err := s.read(r, now)
 	if err == nil && s.module == nil {
+		g.sound++
 		s.count.refused++
-		g.answer(id, front.Answer{Status: statusRefused}) // nothing can run yet
+		g.answer(id, refusal(s.told.Module.RetryAfter)) // nothing can run yet
 		return
 	}
 	if err == nil {
