Start the tests' nodes by the deploy file's line; keep no answer buffers in sessions

Seen: a test run stood still for ten minutes. Its trace showed the loop of a test waiting to tell of a closed connection: more than 16 ended after the test had, and nobody read the channel. At fault: newEcho's channels; the flood's own bytes could also have passed for the late caller's.

Also: tests start the program as the platform does, with SIGHUP ignored until it is caught, and one sends SIGHUP from the first moment of the process on; the pace of reports is checked against a quarter of them lost; answers are put together in buffers that all sessions share.

--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,7 +17,7 @@
 	"tillerusher/internal/testkit"
 )
 
-// program is the built command, which the tests start as the platform does.
+// program starts the built command by the line of the deploy file, which the tests start as the platform does.
 var program string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
@@ -28,11 +29,18 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "tillerusher")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+	binary := filepath.Join(dir, "tillerusher")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	line := regexp.MustCompile(`(?m)^run = "(.*bin/tillerusher)"$`).FindSubmatch(deploy)
+	if err != nil || line == nil {
+		fmt.Fprintln(os.Stderr, "deploy/balancer.toml starts no bin/tillerusher", err)
+		return 1
+	}
+	program = strings.Replace(string(line[1]), "bin/tillerusher", binary, 1)
 	return m.Run()
 }
 
@@ -470,7 +478,7 @@
 			it := testkit.NewInterpreter(t)
 			first := testkit.Start(t, program, it, nil)
 			first.WaitUp()
-			cmd := exec.Command(program)
+			cmd := exec.Command("/bin/sh", "-c", program)
 			cmd.Env = append(os.Environ(), "RELAY_CONFIG="+first.ConfigPath, "RELAY_LISTEN="+first.Addr)
 			out, err := cmd.CombinedOutput()
 			if err == nil || !strings.Contains(string(out), field) || strings.Count(string(out), "\n") != 1 {
--- a/cmd/tillerusher/reload_test.go
+++ b/cmd/tillerusher/reload_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -116,3 +117,17 @@
 		t.Errorf("exit status %d", status)
 	}
 }
+
+// TestReloadEarly sends SIGHUP again and again from the first moment of the process on.
+func TestReloadEarly(t *testing.T) {
+	n := testkit.Start(t, program, testkit.NewInterpreter(t), nil)
+	testkit.Wait(t, "the shell to become the program", func() bool {
+		name, err := os.ReadFile(fmt.Sprintf("/proc/%d/comm", n.Process.Pid))
+		return err == nil && strings.TrimSpace(string(name)) == "tillerusher"
+	})
+	testkit.Wait(t, "a configuration to be taken over", func() bool {
+		n.Signal(syscall.SIGHUP)
+		return strings.Contains(n.Log(), "configuration reloaded")
+	})
+	n.WaitUp()
+}
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -1,7 +1,6 @@
 package fastcgi
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -32,8 +31,11 @@
 	Memory   int // bytes of all requests of all sessions that are not answered
 }
 
-// budget is what is left of the memory of all sessions.
-type budget struct{ left int }
+// shared is what all sessions of a protocol have in common: idle ones are many and must hold no buffers.
+type shared struct {
+	left          int    // of the memory for requests that are not answered
+	text, records []byte // where answers are put together
+}
 
 // request is one open request of a session.
 type request struct {
@@ -50,7 +52,6 @@
 // Session is the state of one connection.
 type Session struct {
 	limits   Limits
-	memory   *budget
 	out      front.Output
 	handler  front.Handler
 	parse    parser
@@ -59,14 +60,14 @@
 	excess   int    // bytes passed over since the last whole request
 	coming   int    // open requests that have not come whole
 	finished bool
-	buf      *[]byte // where answers are put together, for all sessions
+	shared   *shared
 }
 
 // New returns a protocol whose sessions keep to the limits.
 func New(l Limits) front.Protocol {
-	memory, buf := &budget{l.Memory}, new([]byte)
+	common := &shared{left: l.Memory}
 	return func(out front.Output, h front.Handler) front.Session {
-		return &Session{limits: l, memory: memory, out: out, handler: h, open: map[uint16]*request{}, buf: buf}
+		return &Session{limits: l, shared: common, out: out, handler: h, open: map[uint16]*request{}}
 	}
 }
 
@@ -126,11 +127,11 @@
 		return to
 	}
 	// Requests that come in slowly on many connections must not fill the memory.
-	if len(p) > s.memory.left {
+	if len(p) > s.shared.left {
 		q.spoil(front.TooMany)
 		return to
 	}
-	s.memory.left -= len(p)
+	s.shared.left -= len(p)
 	q.booked += len(p)
 	return append(to, p...)
 }
@@ -190,7 +191,7 @@
 			s.handler.Aborted(s, front.Stream(r.id))
 		} else {
 			s.coming--
-			s.finish(r.id, q, appendEnd((*s.buf)[:0], r.id, 1, statusComplete))
+			s.finish(r.id, q, appendEnd(s.shared.records[:0], r.id, 1, statusComplete))
 		}
 	}
 	return nil
@@ -220,7 +221,7 @@
 
 // reject ends a request that was not opened.
 func (s *Session) reject(id uint16, keep bool, f front.Flaw, status byte) {
-	s.write(appendEnd((*s.buf)[:0], id, 1, status))
+	s.write(appendEnd(s.shared.records[:0], id, 1, status))
 	s.finished = s.finished || !keep
 	s.handler.Rejected(f)
 }
@@ -270,37 +271,30 @@
 		return
 	}
 	if a.Overloaded {
-		s.finish(id, q, appendEnd((*s.buf)[:0], id, 1, statusOverloaded))
+		s.finish(id, q, appendEnd(s.shared.records[:0], id, 1, statusOverloaded))
 		return
 	}
-	b := appendHeader((*s.buf)[:0], typeStdout, id, 0)
-	b = append(append(b, "Status: "...), strconv.Itoa(a.Status)...)
-	b = append(b, "\r\n"...)
+	text := append(s.shared.text[:0], "Status: "...)
+	text = append(strconv.AppendInt(text, int64(a.Status), 10), "\r\n"...)
 	for _, f := range a.Fields {
-		b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
-	}
-	b = append(b, "\r\n"...)
-	if len(b)-headerSize+len(a.Body) <= maxContent {
-		b = append(b, a.Body...)
-		binary.BigEndian.PutUint16(b[4:], uint16(len(b)-headerSize))
-		b = appendHeader(b, typeStdout, id, 0)
-	} else {
-		b = appendStream((*s.buf)[:0], typeStdout, id, append(bytes.Clone(b[headerSize:]), a.Body...))
+		text = append(append(append(append(text, f.Name...), ": "...), f.Value...), "\r\n"...)
 	}
+	s.shared.text = append(append(text, "\r\n"...), a.Body...)
+	b := appendStream(s.shared.records[:0], typeStdout, id, s.shared.text)
 	s.finish(id, q, appendEnd(b, id, 0, statusComplete))
 }
 
-// write sends records that were put together in the buffer of all sessions, and keeps that.
+// write sends records that were put together in the buffer of all sessions, which stays there for the next.
 func (s *Session) write(records []byte) {
 	s.out.Write(records)
-	*s.buf = records[:0]
+	s.shared.records = records[:0]
 }
 
 // finish writes a request's last records and closes it.
 func (s *Session) finish(id uint16, q *request, records []byte) {
 	s.write(records)
 	delete(s.open, id)
-	s.memory.left += q.booked
+	s.shared.left += q.booked
 	s.finished = s.finished || !q.keep
 }
 
@@ -308,7 +302,7 @@
 func (s *Session) Close() {
 	for id, q := range s.open {
 		delete(s.open, id)
-		s.memory.left += q.booked
+		s.shared.left += q.booked
 	}
 	s.finished, s.coming = true, 0
 }
@@ -316,7 +310,7 @@
 // manage answers a management record.
 func (s *Session) manage(r record, content []byte) error {
 	if r.kind != typeGetValues {
-		b := appendHeader((*s.buf)[:0], typeUnknown, 0, 8)
+		b := appendHeader(s.shared.records[:0], typeUnknown, 0, 8)
 		s.write(append(b, r.kind, 0, 0, 0, 0, 0, 0, 0))
 		return nil
 	}
@@ -332,6 +326,6 @@
 	if err != nil {
 		return err
 	}
-	s.write(append(appendHeader((*s.buf)[:0], typeGetValuesResult, 0, len(reply)), reply...))
+	s.write(append(appendHeader(s.shared.records[:0], typeGetValuesResult, 0, len(reply)), reply...))
 	return nil
 }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -19,7 +19,8 @@
 }
 
 func newEcho() *echo {
-	return &echo{connected: make(chan error, 16), closed: make(chan error, 16), onData: func(c *Conn, p []byte) { c.Write(p) }}
+	// Room for all connections of a test: the loop must not wait for a test that has ended.
+	return &echo{connected: make(chan error, 256), closed: make(chan error, 256), onData: func(c *Conn, p []byte) { c.Write(p) }}
 }
 
 func (e *echo) Connected(*Conn)           { e.connected <- nil }
@@ -274,7 +275,7 @@
 	e := newEcho()
 	answered := make(chan bool, 1)
 	e.onData = func(c *Conn, p []byte) {
-		if len(p) == 1 {
+		if len(p) == 1 && p[0] == 'a' {
 			answered <- true
 		}
 	}
--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -91,7 +91,8 @@
 	return string(buf[:size])
 }
 
-// Start starts the program with an interpreter; change may edit the configuration.
+// Start starts the program, by a line for the shell as the platform does, with an interpreter; change may edit the
+// configuration.
 func Start(t testing.TB, program string, it *Interpreter, change func(config map[string]any)) *Node {
 	t.Helper()
 	reports := NewAnnounce(t)
@@ -104,7 +105,7 @@
 	}
 	n.config, n.ConfigPath = config, filepath.Join(t.TempDir(), "config.json")
 	n.Configure(func(map[string]any) {})
-	cmd := exec.Command(program)
+	cmd := exec.Command("/bin/sh", "-c", program)
 	cmd.Env = append(os.Environ(), "RELAY_NAME=n3", "RELAY_LISTEN="+n.Addr, "RELAY_CONFIG="+n.ConfigPath)
 	cmd.Stderr = n
 	if err := cmd.Start(); err != nil {
--- a/server/health.go
+++ b/server/health.go
@@ -39,9 +39,13 @@
 	g.answer(id, front.Answer{Status: status})
 }
 
-// announcePace keeps reports well inside the 3 s after which a silent server leaves the list: reports are
-// datagrams, and where a quarter is lost, three in a row often are.
-const announcePace = 250 * time.Millisecond
+const (
+	// listedFor is how long after its last report a server leaves the list.
+	listedFor = 3 * time.Second
+	// announcePace sends many reports in that time: they are datagrams, and where a quarter is lost, three in a
+	// row often are.
+	announcePace = 250 * time.Millisecond
+)
 
 // announce reports that this server takes requests, until it drains.
 func (s *Server) announce() {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -110,3 +111,11 @@
 		}
 	})
 }
+
+// TestAnnouncePace has a quarter of the reports be lost: that all are which come while a server stays listed must
+// happen less than once in a million times.
+func TestAnnouncePace(t *testing.T) {
+	if chance := math.Pow(0.25, math.Floor(float64(listedFor)/float64(announcePace))); chance > 1e-6 {
+		t.Errorf("all reports are lost with a chance of %v", chance)
+	}
+}
--- a/server/try.go
+++ b/server/try.go
@@ -38,7 +38,6 @@
 	repeats  *try
 	answered bool // no answer is owed any more
 	state    progress
-	halted   bool
 	result   []byte // kept for repeats
 	stored   bool   // result is valid
 	expired  bool   // no repeat can find it any more
