Keep keys for as long as their late tries may come, and over runs that came to nothing

A model of a server over a folder, with slips that repeat while the power goes at random calls to the file layer, found two ways to a second run. A record was removed at the end of its window by the server's clock, though a try that was received within the window may come until its deadline: records now last a deadline longer. Torn logs now lose sectors in any order, too.

--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -127,6 +127,34 @@
 	}
 }
 
+// TestDropAfterWindow has a key used anew after its window, for a run that comes to nothing: the run before it is known
+// again, in memory and on the disk, for its late tries.
+func TestDropAfterWindow(t *testing.T) {
+	for name, end := range map[string]func(j *Journal, k Key) []Change{
+		"dropped": (*Journal).Drop,
+		"undone":  func(j *Journal, k Key) []Change { j.Undo(k); return nil }, // nothing was written over the record
+	} {
+		j, k := New(Limits{Entries: 10, Bytes: 1e6}), Key{"c", "k"}
+		j.Intend(Entry{Key: k, Stamp: start, Until: start.Add(21 * time.Second)})
+		j.Finish(k, Answer{Status: 200, Body: []byte("first")})
+		j.Intend(Entry{Key: k, Stamp: start.Add(19 * time.Second), Until: start.Add(40 * time.Second)})
+		changes := end(j, k)
+		if list := j.Entries(); len(list) != 1 || list[0].State != Lost || !list[0].Stamp.Equal(start) {
+			t.Errorf("%s: %+v", name, list)
+		}
+		if name == "dropped" {
+			if e, err := Decode(changes[0].Name, changes[0].Value); err != nil || !e.Stamp.Equal(start) {
+				t.Errorf("written: %+v, %v", e, err)
+			}
+		}
+		j.Intend(Entry{Key: k, Stamp: start.Add(20 * time.Second), Until: start.Add(41 * time.Second)})
+		j.Finish(k, Answer{Status: 200})
+		if c := j.Drop(k); len(c) != 1 || c[0].Value != nil {
+			t.Errorf("%s: a run of its own does not end the one before: %+v", name, c)
+		}
+	}
+}
+
 // TestRecord reads what it writes, and names any flipped bit.
 func TestRecord(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -57,9 +57,10 @@
 // entry is an Entry with its place among those that run out.
 type entry struct {
 	Entry
-	pos  int
-	seq  uint64 // of its answer, in the order of keeping
-	size int64
+	pos    int
+	seq    uint64 // of its answer, in the order of keeping
+	size   int64
+	before *Entry // what an intent took the place of: where it comes to nothing, tries of the run before it may still come
 }
 
 // Counters count what was decided.
@@ -196,6 +197,9 @@
 func (j *Journal) Intend(e Entry) []Change {
 	e.State, e.Answer = Intent, Answer{}
 	n := &entry{Entry: e}
+	if old := j.entries[e.Key]; old != nil {
+		n.before = old.withoutAnswer()
+	}
 	j.put(n)
 	j.Count.Intents++
 	return append(j.fit(), Change{e.Key.Name(), n.Encode()})
@@ -208,7 +212,7 @@
 		return nil
 	}
 	j.forgetAnswer(e)
-	e.State, e.Answer = Done, a
+	e.before, e.State, e.Answer = nil, Done, a
 	j.weigh(e)
 	j.keep(e)
 	j.Count.Results++
@@ -219,14 +223,34 @@
 	return changes
 }
 
-// Drop is what is written where nothing ran after all: the key is free.
+// withoutAnswer is an entry whose answer was given up.
+func (e *Entry) withoutAnswer() *Entry {
+	o := *e
+	if o.State == Done {
+		o.State, o.Answer = Lost, Answer{}
+	}
+	return &o
+}
+
+// takeBack takes an intent back, and puts what it took the place of back in.
+func (j *Journal) takeBack(e *entry) {
+	j.take(e)
+	if e.before != nil {
+		j.put(&entry{Entry: *e.before})
+	}
+}
+
+// Drop is what is written where nothing ran after all: the key is as it was before.
 func (j *Journal) Drop(k Key) []Change {
 	e := j.entries[k]
 	if e == nil {
 		return nil
 	}
-	j.take(e)
+	j.takeBack(e)
 	j.Count.Dropped++
+	if e.before != nil {
+		return []Change{{k.Name(), e.before.Encode()}}
+	}
 	return []Change{{Name: k.Name()}}
 }
 
@@ -285,9 +309,9 @@
 	return changed
 }
 
-// Undo takes an intent back that could not be written: its request is not run, so its key is free.
+// Undo takes an intent back that could not be written: its request is not run, so its key is as it was before.
 func (j *Journal) Undo(k Key) {
 	if e := j.entries[k]; e != nil && e.State == Intent {
-		j.take(e)
+		j.takeBack(e)
 	}
 }
--- a/internal/durable/record.go
+++ b/internal/durable/record.go
@@ -59,7 +59,7 @@
 	Key    Key
 	State  State
 	Stamp  time.Time // Received-At of the try that ran
-	Until  time.Time // arrivals until then must not run again
+	Until  time.Time // no try that must not run again comes later: the end of the window, and the longest that one is on its way
 	Sum    uint64    // of the body, by the folder's secret
 	Answer Answer    // Done
 }
--- /dev/null
+++ b/internal/store/slips_test.go
@@ -0,0 +1,295 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/vfs"
+	"github.com/cockroachdb/pebble/vfs/errorfs"
+
+	"tillerusher/internal/durable"
+	"tillerusher/internal/rules"
+)
+
+// The slips' world: how long a key must not run again, how long a try may be on its way, and how many cuts a folder lives
+// through.
+const (
+	slipWindow = 18354 * time.Millisecond
+	slipDelay  = 3 * time.Second
+	slipLives  = 100
+	slipKeys   = 12
+)
+
+// slip is a request that a life of the server knows.
+type slip struct {
+	until   time.Time
+	over    bool
+	failed  bool // it may have run, and nobody knows how it ended
+	waiting []string
+	before  *slip // a run whose window had passed; late tries of it may still come
+}
+
+// slipWorld is one folder, the callers of its server, and the interpreter.
+type slipWorld struct {
+	rng      *rand.Rand
+	fsys     *vfs.MemFS
+	observer *rules.Observer
+	now      time.Time // of the callers
+	skew     time.Duration
+	tries    int
+	counts   map[string]int
+}
+
+// slipLife is one life of the server, from its start to the cut.
+type slipLife struct {
+	*slipWorld
+	store   *Store
+	rules   *durable.Journal
+	known   map[durable.Key]*slip
+	running []durable.Key
+	posted  chan func()
+	pending int // orders whose end was not heard of
+	dead    atomic.Bool
+}
+
+// clock is the server's, which may have been stepped back since its last life.
+func (w *slipWorld) clock() time.Time { return w.now.Add(w.skew) }
+
+// live plays one life: the power goes at a random call to the file layer, and whatever was not synced is lost, torn or kept
+// in part.
+func (w *slipWorld) live(t *testing.T) error {
+	l := &slipLife{slipWorld: w, known: map[durable.Key]*slip{}, posted: make(chan func(), 1024)}
+	var calls atomic.Int64
+	at := int64(1 + w.rng.IntN(160))
+	disk := errorfs.Wrap(w.fsys, errorfs.InjectorFunc(func(errorfs.Op, string) error {
+		if calls.Add(1) == at {
+			l.dead.Store(true) // before the syncs stop: what is told to be down from here on is not heard of
+			w.fsys.SetIgnoreSyncs(true)
+		}
+		return nil
+	}))
+	err := l.run(disk)
+	if !l.dead.Swap(true) {
+		w.counts["cuts between calls"]++
+		w.fsys.SetIgnoreSyncs(true)
+		if err != nil {
+			return fmt.Errorf("before the cut: %w", err)
+		}
+	}
+	before := tails(t, w.fsys)
+	if l.store != nil {
+		l.store.Close() // with the power gone nothing of it counts
+	}
+	w.fsys.ResetToSyncedState()
+	w.fsys.SetIgnoreSyncs(false)
+	w.counts["torn logs"] += tear(t, w.fsys, before, w.rng)
+	for _, s := range l.known {
+		for _, id := range s.waiting {
+			w.observer.Lost(id)
+			w.counts["open at a cut"]++
+		}
+	}
+	w.now = w.now.Add(time.Duration(w.rng.ExpFloat64() * float64(2*time.Second)))
+	w.skew = 0
+	if w.rng.IntN(20) == 0 {
+		w.skew = -time.Duration(w.rng.Int64N(int64(time.Hour)))
+	}
+	return nil
+}
+
+// run opens the folder, reads what an earlier life left and serves until the power is gone.
+func (l *slipLife) run(disk vfs.FS) (err error) {
+	if l.store, err = Open(config(disk)); err != nil {
+		return err
+	}
+	l.rules = durable.New(durable.Limits{Entries: 10, Bytes: 3000})
+	err = l.store.Each(durable.Prefix, func(name, value []byte) error { return l.rules.Load(string(name), value) })
+	if err != nil {
+		return err
+	}
+	for _, e := range l.rules.Entries() {
+		if !l.clock().After(e.Until) {
+			l.known[e.Key] = &slip{until: e.Stamp.Add(slipWindow), over: true, failed: e.State != durable.Done}
+			l.counts["recovered "+e.State.String()]++
+		}
+	}
+	for step := 0; step < 60 && !l.dead.Load(); step++ {
+		switch n := l.rng.IntN(10); {
+		case n < 5:
+			l.arrive()
+		case n < 7 && len(l.running) > 0:
+			l.end()
+		case n < 8:
+			l.now = l.now.Add(time.Duration(l.rng.Int64N(int64(time.Second))))
+			l.write(l.rules.Expire(l.clock(), 3), nil)
+		case l.pending > 0:
+			(<-l.posted)()
+		}
+		for len(l.posted) > 0 {
+			(<-l.posted)()
+		}
+	}
+	return nil
+}
+
+// write hands over changes; then hears on the life's own goroutine that they are down, unless the power went before.
+func (l *slipLife) write(changes []durable.Change, then func(err error)) {
+	if len(changes) == 0 {
+		return
+	}
+	l.pending++
+	err := l.store.Write(changes, func(err error) {
+		gone := l.dead.Load()
+		l.posted <- func() {
+			l.pending--
+			if !gone && then != nil {
+				then(err)
+			}
+		}
+	})
+	if err != nil {
+		l.pending--
+		if then != nil {
+			then(err)
+		}
+	}
+}
+
+// arrive has a try come in, most of them for few keys.
+func (l *slipLife) arrive() {
+	n := min(l.rng.IntN(slipKeys), l.rng.IntN(slipKeys))
+	k := durable.Key{Class: "stock-reserve", Key: fmt.Sprint("slip ", n)}
+	l.tries++
+	try := rules.Try{ID: fmt.Sprint(l.tries), Key: k.Key, Once: true, Result: k.Key, Due: l.now.Add(24 * time.Hour),
+		Received: l.now.Add(-time.Duration(l.rng.Int64N(int64(slipDelay))))}
+	l.observer.Sent(try)
+	if s := l.known[k]; s != nil && !try.Received.After(s.until) {
+		switch {
+		case !s.over:
+			s.waiting = append(s.waiting, try.ID)
+		case s.failed:
+			l.answer(try.ID, rules.Failed, k)
+		default:
+			l.answer(try.ID, rules.Served, k)
+		}
+		return
+	}
+	if l.rules.Admit(l.clock()) != durable.Protected {
+		l.answer(try.ID, rules.Refused, k)
+		return
+	}
+	s := &slip{until: try.Received.Add(slipWindow), waiting: []string{try.ID}, before: l.known[k]}
+	l.known[k] = s
+	l.write(l.rules.Intend(durable.Entry{Key: k, Stamp: try.Received, Until: s.until.Add(slipDelay)}), func(err error) {
+		switch {
+		case err != nil:
+			l.rules.Wrote(err, l.clock())
+			l.rules.Undo(k)
+			l.takeBack(k)
+		case l.rng.IntN(8) == 0: // it was given up meanwhile, and nothing ran
+			l.write(l.rules.Drop(k), nil)
+			l.takeBack(k)
+		default:
+			l.observer.Ran(try.ID)
+			l.counts["runs"]++
+			l.running = append(l.running, k)
+		}
+	})
+}
+
+// takeBack refuses what waits for a request that nothing ran for.
+func (l *slipLife) takeBack(k durable.Key) {
+	l.over(k, rules.Refused)
+	if l.known[k] = l.known[k].before; l.known[k] == nil {
+		delete(l.known, k)
+	}
+}
+
+// end has a run end: its answer goes out at once, and its record down behind it.
+func (l *slipLife) end() {
+	i := l.rng.IntN(len(l.running))
+	k := l.running[i]
+	l.running = append(l.running[:i], l.running[i+1:]...)
+	l.over(k, rules.Served)
+	body := append([]byte(k.Key), make([]byte, l.rng.IntN(600))...)
+	l.write(l.rules.Finish(k, durable.Answer{Status: 200, Body: body}), nil)
+}
+
+// over answers all that wait for a request.
+func (l *slipLife) over(k durable.Key, kind rules.Answer) {
+	s := l.known[k]
+	s.over = true
+	if kind == rules.Served {
+		s.before = nil
+	}
+	for _, id := range s.waiting {
+		l.answer(id, kind, k)
+	}
+	s.waiting = nil
+}
+
+func (l *slipLife) answer(id string, kind rules.Answer, k durable.Key) {
+	l.counts[[]string{"served", "refused", "failed"}[kind]]++
+	l.observer.Answered(id, kind, k.Key, l.now)
+}
+
+// TestSlipCuts has slips repeat while the power goes at random calls to the file layer, clocks are stepped back and the
+// bound is reached: no key runs twice in its window, and every try is answered, or was open at a cut.
+func TestSlipCuts(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	worlds := max(*cuts/slipLives, 1)
+	var next atomic.Int64
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	total := map[string]int{}
+	var failures []error
+	for range runtime.GOMAXPROCS(0) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for n := next.Add(1); n <= int64(worlds); n = next.Add(1) {
+				counts, err := playSlips(t, seed, uint64(n))
+				mu.Lock()
+				for name, count := range counts {
+					total[name] += count
+				}
+				if err != nil {
+					failures = append(failures, fmt.Errorf("world %d: %w", n, err))
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	all.Wait()
+	if err := errors.Join(failures...); err != nil {
+		t.Errorf("%.2000s", err.Error())
+	}
+	t.Logf("%d worlds of %d cuts: %v", worlds, slipLives, total)
+	for _, name := range []string{"served", "refused", "failed", "runs", "recovered done", "recovered intent", "recovered answer given up"} {
+		if total[name] == 0 {
+			t.Errorf("none were %s", name)
+		}
+	}
+}
+
+// playSlips plays one folder's lives.
+func playSlips(t *testing.T, seed, n uint64) (map[string]int, error) {
+	w := &slipWorld{rng: rand.New(rand.NewPCG(seed, n)), fsys: vfs.NewStrictMem(), observer: rules.New(slipWindow), counts: map[string]int{},
+		now: time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)}
+	for life := range slipLives {
+		if err := w.live(t); err != nil {
+			return w.counts, fmt.Errorf("life %d: %w", life, err)
+		}
+	}
+	if b := w.observer.Breaches(w.now.Add(48 * time.Hour)); len(b) > 0 {
+		return w.counts, fmt.Errorf("%d rules were broken, the first: %s", len(b), b[0])
+	}
+	return w.counts, nil
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -78,8 +78,11 @@
 	return logs
 }
 
-// tear leaves a part of what was never synced, as a disk does that was writing when the power went: some of it, and at
-// times with a byte changed.
+// sector is what a disk writes at once; sectors may go down in any order.
+const sector = 512
+
+// tear leaves a part of what was never synced, as a disk does that was writing when the power went: a beginning, at times
+// with sectors missing before its end or a bit changed.
 func tear(t testing.TB, fsys *vfs.MemFS, before map[string][]byte, rng *rand.Rand) int {
 	t.Helper()
 	torn := 0
@@ -91,6 +94,15 @@
 		}
 		lost := append([]byte(nil), was[info.Size():]...)
 		lost = lost[:rng.IntN(len(lost)+1)]
+		if rng.IntN(3) == 0 {
+			for from := 0; from < len(lost); { // to the next border of a sector of the file
+				to := min(from+sector-int(info.Size()+int64(from))%sector, len(lost))
+				if rng.IntN(2) == 0 {
+					clear(lost[from:to])
+				}
+				from = to
+			}
+		}
 		if len(lost) > 0 && rng.IntN(2) == 0 {
 			lost[rng.IntN(len(lost))] ^= 1 << rng.IntN(8)
 		}
--- a/server/journal.go
+++ b/server/journal.go
@@ -111,7 +111,7 @@
 	j.lastID++
 	t := &try{id: j.lastID, class: class, keyed: true, once: true, key: keyID{class, e.Key.Key}, stamp: e.Stamp, sum: e.Sum, answered: true,
 		state: broken}
-	j.keys.recall(t, e.Until)
+	j.keys.recall(t, e.Stamp.Add(j.window(class)))
 	if e.State == durable.Done {
 		t.state = done
 		j.keys.store(t, answerOf(e.Answer))
@@ -162,10 +162,16 @@
 	return false
 }
 
+// window is for how long after a run's Received-At no try of its request must run again.
+func (j *journal) window(class int) time.Duration {
+	return j.told.Module.Classes[class].Window + windowSlack
+}
+
 // run has a try run once its intent is down.
 func (j *journal) run(t *try) {
 	t.awaits = true
-	until := t.stamp.Add(j.told.Module.Classes[t.class].Window + windowSlack)
+	// A try is run until its deadline, so one that was received within the window may come so much after it.
+	until := t.stamp.Add(j.window(t.class) + j.patience)
 	changes := j.rules.Intend(durable.Entry{Key: j.key(t), Stamp: t.stamp, Until: until, Sum: t.sum})
 	err := j.keep.Write(changes, func(err error) { j.loop.Post(func() { j.intended(t, err) }) })
 	if err != nil {
--- a/server/keys.go
+++ b/server/keys.go
@@ -19,6 +19,10 @@
 	until    time.Duration // the module keeps it for arrivals until then
 	ran      *try          // the try that was run, or nil
 	ranUntil time.Time     // arrivals until then, by the Unix clock, must not be run again
+	// before is the run that the one above came after, and beforeUntil its ranUntil: where the later one comes to nothing,
+	// tries of the earlier one may still come.
+	before      *try
+	beforeUntil time.Time
 }
 
 // stored is a result that is kept for repeats, in the order of keeping.
@@ -113,21 +117,32 @@
 	if e.ran != t && k.hasRun(t) {
 		return false
 	}
+	if e.ran != nil && e.ran != t {
+		e.letGo()
+		e.before, e.beforeUntil = e.ran, e.ranUntil
+	}
 	e.ran, e.ranUntil = t, t.stamp.Add(window)
 	return true
 }
 
+// letGo forgets the run before the last.
+func (e *entry) letGo() {
+	if e.before != nil {
+		e.before.expired, e.before = true, nil
+	}
+}
+
 // recall makes a try of an earlier process known as one that was run.
 func (k *keyTable) recall(t *try, until time.Time) {
 	e := k.entry(t.key)
 	e.ran, e.ranUntil = t, until
 }
 
-// disclaim takes back that the try was run, which it turned out not to be, and frees its key.
+// disclaim takes back that the try was run, which it turned out not to be: its key is as it was before.
 func (k *keyTable) disclaim(t *try) {
 	if e := k.entries[t.key]; e != nil && e.ran == t {
-		e.ran = nil
-		if e.holder == nil {
+		e.ran, e.ranUntil, e.before = e.before, e.beforeUntil, nil
+		if e.holder == nil && e.ran == nil {
 			delete(k.entries, t.key)
 		}
 	}
@@ -174,6 +189,9 @@
 		if e.holder != nil && now > e.until+slack {
 			k.unhold(e)
 		}
+		if e.before != nil && unix.After(e.beforeUntil.Add(slack)) {
+			e.letGo()
+		}
 		if e.ran != nil && unix.After(e.ranUntil.Add(slack)) {
 			e.ran.expired, e.ran = true, nil
 		}
--- a/server/keys_test.go
+++ b/server/keys_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// TestKeyUsedAnew has a key used again after its window, for a run that turns out not to have happened: late tries of the run
+// before it are still known.
+func TestKeyUsedAnew(t *testing.T) {
+	k := newKeyTable(1000)
+	first, anew, late := keyedTry(1, "a", 0), keyedTry(2, "a", window+time.Second), keyedTry(3, "a", window-time.Second)
+	if !k.claim(first, window) || !k.claim(anew, window) {
+		t.Fatal("a run within no window was held up")
+	}
+	k.disclaim(anew)
+	if k.claim(late, window) {
+		t.Error("a late try ran again")
+	}
+	k.claim(anew, window)
+	k.sweep(2*window, at(2*window), 0)
+	if e := k.entries[anew.key]; e.before != nil || !first.expired {
+		t.Error("the run before is kept for ever")
+	}
+}
+
 // TestKeysModel makes sure with random steps that no request is run twice within its window, and that the
 // table holds nothing for ever.
 func TestKeysModel(t *testing.T) {
