Have a successor wait for its folder while the process before it drains

At a release the old process still drains on the folder when the new one starts, which was told that the folder is in use and ended with status 2. It now waits as long as stop_ms and two seconds, says so in the log, and ends with 0 where it is told to leave meanwhile.

Checked: a successor that starts in the drain answers the repeat of what the drain finished; a folder in use by one that does not drain is still refused, in one line.

--- a/cmd/tillerusher-state/main.go
+++ b/cmd/tillerusher-state/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"os"
@@ -26,7 +27,7 @@
 }
 
 func main() {
-	os.Exit(server.StateMain(os.Args[1:], os.Getenv, os.Stderr, func(dir, name, site string) (server.Keeper, error) {
-		return store.Open(store.Config{Dir: dir, Server: name, Site: site, Machine: machine()})
+	os.Exit(server.StateMain(os.Args[1:], os.Getenv, os.Stderr, func(ctx context.Context, f server.Folder) (server.Keeper, error) {
+		return store.OpenWait(ctx, store.Config{Dir: f.Directory, Server: f.Server, Site: f.Site, Machine: machine()}, f.Waiting)
 	}))
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -113,6 +114,30 @@
 	return s, nil
 }
 
+// openPace is how often a folder that another process uses is tried again.
+const openPace = 20 * time.Millisecond
+
+// OpenWait is Open, but waits for the end of another process that uses the folder, until the context ends: the process
+// before this one may still drain. It calls waiting once before it waits.
+func OpenWait(ctx context.Context, c Config, waiting func()) (*Store, error) {
+	s, err := Open(c)
+	if !errors.Is(err, ErrInUse) {
+		return s, err
+	}
+	waiting()
+	again := time.NewTicker(openPace)
+	defer again.Stop()
+	for errors.Is(err, ErrInUse) {
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w, still at the end of the wait", err)
+		case <-again.C:
+			s, err = Open(c)
+		}
+	}
+	return s, err
+}
+
 // exists tells whether a folder has a store.
 func exists(c Config) bool {
 	names, err := c.FS.List(c.Dir)
--- a/server/main.go
+++ b/server/main.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -11,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -24,11 +26,35 @@
 	return serveMain(args, getenv, stderr, nil)
 }
 
-// StateMain is Main in the program that keeps state over restarts; open opens a server's folder.
-func StateMain(args []string, getenv func(string) string, stderr io.Writer, open func(dir, name, site string) (Keeper, error)) int {
-	return serveMain(args, getenv, stderr, func(o *config.State, cfg *Config) (func(*Server) error, error) {
-		keeper, err := open(o.Directory, cfg.Name, cfg.Settings.KeyedSite())
-		if err != nil {
+// Folder is where a server keeps what outlasts it.
+type Folder struct {
+	Directory string
+	Server    string
+	Site      string // by which sites can be told apart as far as keyed requests go
+	Waiting   func() // called once where another process uses the folder, which the opening waits for
+}
+
+// releaseSlack is how long the process before this one may take over its stop_ms to let go of the folder.
+const releaseSlack = 2 * time.Second
+
+// opener opens what has a server keep its state. It returns context.Canceled where a signal ended the waiting.
+type opener func(o *config.State, cfg *Config, log *zap.Logger) (func(*Server) error, error)
+
+// StateMain is Main in the program that keeps state over restarts; open opens a server's folder. At a release the process
+// before this one still drains and uses the folder: its end is waited for, as long as it may take, until the context ends.
+func StateMain(args []string, getenv func(string) string, stderr io.Writer, open func(ctx context.Context, f Folder) (Keeper, error)) int {
+	return serveMain(args, getenv, stderr, func(o *config.State, cfg *Config, log *zap.Logger) (func(*Server) error, error) {
+		signalled, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		ctx, cancel := context.WithTimeout(signalled, cfg.Stop+releaseSlack)
+		defer cancel()
+		keeper, err := open(ctx, Folder{Directory: o.Directory, Server: cfg.Name, Site: cfg.Settings.KeyedSite(), Waiting: func() {
+			log.Info("waiting for the folder", zap.String("directory", o.Directory), zap.Duration("at_most", cfg.Stop+releaseSlack))
+		}})
+		switch {
+		case err != nil && signalled.Err() != nil:
+			return nil, context.Canceled
+		case err != nil:
 			return nil, err
 		}
 		return func(s *Server) error { return s.Persist(keeper, o.Limits) }, nil
@@ -36,7 +62,7 @@
 }
 
 // serveMain serves as a program does; open opens what has a server keep its state, nil in the program that keeps none.
-func serveMain(args []string, getenv func(string) string, stderr io.Writer, open func(*config.State, *Config) (func(*Server) error, error)) int {
+func serveMain(args []string, getenv func(string) string, stderr io.Writer, open opener) int {
 	// Signals are caught before anything else and to the very end: the default action of SIGHUP and SIGUSR1 is
 	// the end of the process. Each has a channel of its own, or many of one kind would push out another.
 	drain, reload, report := catch(syscall.SIGTERM, syscall.SIGINT), catch(syscall.SIGHUP), catch(syscall.SIGUSR1)
@@ -59,16 +85,20 @@
 		return 2
 	}
 	cfg.Capture = o.Capture
+	log, flush := NewLogger(stderr)
+	defer flush()
 	persist := func(*Server) error { return nil }
 	if o.State != nil {
-		if persist, err = open(o.State, cfg); err != nil {
+		persist, err = open(o.State, cfg, log)
+		if errors.Is(err, context.Canceled) {
+			return 0 // it was told to leave before it served anything
+		}
+		if err != nil {
 			fmt.Fprintln(stderr, err)
 			return 2
 		}
 	}
 	tune(cfg)
-	log, flush := NewLogger(stderr)
-	defer flush()
 	s, err := New(cfg, log)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
