Have the store write again by itself after a disk that was full or failed

Pebble does not go on after a write that failed: it asks for the end of the process, or stands still with its locks held. The server's mode for a failing disk was tested with a stand-in, and with the real store keyed requests would have waited until their deadlines for ever after. Whatever writes now runs where it can be left behind; an engine that failed is cut off from the disk; a probe asks whether the disk takes a megabyte, and then another engine takes its place under the same lock. Eight engines that never end are the bound. The end of a store waits half a second for a disk that stands still, not for ever.

--- /dev/null
+++ b/internal/store/engine.go
@@ -0,0 +1,222 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble"
+	"github.com/cockroachdb/pebble/vfs"
+	"github.com/cockroachdb/pebble/vfs/errorfs"
+)
+
+// engine is one opening of a folder's records. Pebble does not go on after a write that failed: it may ask for the end of the
+// process, or stand still with its locks held. So whatever may write runs on a goroutine that can be left behind, an engine
+// that failed is cut off from the disk, and another takes its place once the disk is well.
+type engine struct {
+	db     *pebble.DB
+	failed chan struct{} // closed by the first failure, which is in err
+
+	mu  sync.Mutex
+	err error
+	off bool // cut off from the disk
+}
+
+// The errors of engines.
+var (
+	errCutOff  = errors.New("store: cut off after a failure")
+	errStands  = errors.New("store: the disk stands still")
+	errWornOut = errors.New("store: it failed too often to be taken up again")
+)
+
+const (
+	// closePatience is how long the end of an engine is waited for.
+	closePatience = 500 * time.Millisecond
+	// mostStuck is how many engines may fail without an end. Each holds on to about a megabyte.
+	mostStuck = 8
+	// probeBytes is how much room a disk has to have, and to take down, before records are taken up again.
+	probeBytes = 2 * memTableBytes
+	probeName  = "probe"
+)
+
+// unlocked is a file layer whose folder the store has locked itself, for longer than one engine lasts.
+type unlocked struct{ vfs.FS }
+
+// Lock implements vfs.FS.
+func (unlocked) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+// openEngine opens the records of a folder that is locked.
+func openEngine(c Config) (*engine, error) {
+	e := &engine{failed: make(chan struct{})}
+	disk := errorfs.Wrap(c.FS, errorfs.InjectorFunc(func(errorfs.Op, string) error {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.off {
+			return errCutOff
+		}
+		return nil
+	}))
+	cache := pebble.NewCache(cacheBytes)
+	defer cache.Unref()
+	var db *pebble.DB
+	err := e.guard(func() (err error) {
+		db, err = pebble.Open(c.Dir, &pebble.Options{FS: unlocked{disk}, Cache: cache, MemTableSize: memTableBytes, MemTableStopWritesThreshold: 4,
+			MaxOpenFiles: openFiles, ReadOnly: c.ReadOnly, Logger: e, ErrorIfNotExists: c.ReadOnly, MaxConcurrentCompactions: func() int { return 1 }})
+		return err
+	})
+	if err != nil {
+		e.cutOff()
+		return nil, openError(c.Dir, err)
+	}
+	e.db = db
+	return e, nil
+}
+
+// Infof and Errorf keep what Pebble has to say out of the log: what matters comes back as errors.
+func (e *engine) Infof(string, ...interface{}) {}
+
+// Errorf implements pebble.Logger.
+func (e *engine) Errorf(string, ...interface{}) {}
+
+// Fatalf implements pebble.Logger. It must not return, and whoever called may hold locks: the goroutine is left behind.
+func (e *engine) Fatalf(format string, args ...interface{}) {
+	for _, a := range args {
+		if err, ok := a.(error); ok { // the cause itself tells more than the text
+			e.fail(err)
+		}
+	}
+	e.fail(fmt.Errorf(format, args...))
+	select {}
+}
+
+// fail notes the first failure.
+func (e *engine) fail(err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.err == nil {
+		e.err = err
+		close(e.failed)
+	}
+}
+
+// cutOff keeps an engine from the disk from now on: what it may still do must not meet what comes after it.
+func (e *engine) cutOff() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.off = true
+}
+
+// guard has something done that may write, and returns once it is done or the engine failed.
+func (e *engine) guard(work func() error) error {
+	done := make(chan error, 1)
+	go func() {
+		defer func() {
+			if r := recover(); r != nil { // Pebble panics on what it takes for its own fault, damage among it
+				err, ok := r.(error)
+				if !ok {
+					err = fmt.Errorf("%v", r)
+				}
+				e.fail(fmt.Errorf("%w: %w", ErrDamaged, err))
+			}
+		}()
+		done <- work()
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-e.failed:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.err
+	}
+}
+
+// do is guard with the records.
+func (e *engine) do(work func(db *pebble.DB) error) error {
+	return e.guard(func() error { return work(e.db) })
+}
+
+// close ends an engine, or leaves it behind where it does not end soon.
+func (e *engine) close() error {
+	ended := make(chan error, 1)
+	go func() { ended <- e.do((*pebble.DB).Close) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(closePatience):
+		e.cutOff()
+		return errStands
+	}
+}
+
+// use has something done with the records, by the engine of the moment.
+func (s *Store) use(work func(db *pebble.DB) error) error {
+	s.mu.RLock()
+	e := s.engine
+	s.mu.RUnlock()
+	if e == nil {
+		return errCutOff
+	}
+	return e.do(work)
+}
+
+// abandon gives up an engine that failed.
+func (s *Store) abandon(e *engine) {
+	e.cutOff()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.engine != e {
+		return
+	}
+	s.engine = nil
+	s.stuck++
+	go func() {
+		defer func() {
+			recover() // it failed before; what it holds on to stays counted
+		}()
+		e.db.Close() // nothing that it says counts any more
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.stuck--
+	}()
+}
+
+// working is the engine to write with, which is opened where the one before it failed and the disk is well again.
+func (s *Store) working() (*engine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.engine != nil:
+		return s.engine, nil
+	case s.stuck >= mostStuck:
+		return nil, errWornOut
+	}
+	if err := s.probe(); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	e, err := openEngine(s.config)
+	if err != nil {
+		s.stuck++ // what was half open is not told apart from what was not
+		return nil, err
+	}
+	s.engine = e
+	s.reopened++
+	return e, nil
+}
+
+// probe asks a disk that failed whether it takes down what records need, so that an engine is opened only where it is well.
+func (s *Store) probe() error {
+	fsys := s.config.FS
+	path := fsys.PathJoin(s.config.Dir, probeName)
+	f, err := fsys.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close(), fsys.Remove(path))
+}
--- /dev/null
+++ b/internal/store/sick_test.go
@@ -0,0 +1,98 @@
+package store
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/vfs"
+	"github.com/cockroachdb/pebble/vfs/errorfs"
+)
+
+// patience is how long a store may take to tell what became of a write, far more than it needs.
+const patience = 30 * time.Second
+
+// TestDiskComesBack has a disk that is full or fails from a random call to the file layer on, under enough writes for files to
+// be begun and rewritten: each write is told, nothing that was told to be down is lost, and the store writes again once the
+// disk is well, without being opened anew.
+func TestDiskComesBack(t *testing.T) {
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 0))
+	failures, opened := 0, 0
+	for round := range 60 {
+		var left atomic.Int64 // calls until the disk fails
+		left.Store(1 << 40)
+		why := []error{syscall.ENOSPC, syscall.EIO}[rng.IntN(2)]
+		disk := errorfs.Wrap(vfs.NewMem(), errorfs.InjectorFunc(func(op errorfs.Op, _ string) error {
+			if left.Add(-1) < 0 && op.OpKind() == errorfs.OpKindWrite && op != errorfs.OpFileClose {
+				return why
+			}
+			return nil
+		}))
+		s := open(t, disk)
+		down := map[string]string{}
+		for sickness := range 3 {
+			left.Store(rng.Int64N(300))
+			failed := 0
+			for i := 0; failed < 3 && i < 2000; i++ {
+				if !put(t, s, rng, down) {
+					failed++
+				}
+			}
+			failures += failed
+			left.Store(1 << 40)
+			if failed == 0 {
+				t.Fatalf("round %d: a disk that fails was not noticed", round)
+			}
+			for try := 0; !put(t, s, rng, down); try++ {
+				if try == 5 {
+					t.Fatalf("round %d, sickness %d: the disk is well, and writes fail", round, sickness)
+				}
+			}
+		}
+		check := func(when string, got map[string]string) {
+			for name, value := range down {
+				if value != "" && got[name] != value {
+					t.Fatalf("round %d, %s: %s was told to be down and is %.20q, want %.20q", round, when, name, got[name], value)
+				}
+			}
+		}
+		check("open", contents(t, s))
+		opened += int(s.Reopened())
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		s = open(t, disk)
+		check("opened anew", contents(t, s))
+		s.Close()
+	}
+	t.Logf("%d writes failed, %d times the records were taken up anew", failures, opened)
+}
+
+// put writes a record, and notes in down what was told: of one that failed either value may be there.
+func put(t *testing.T, s *Store, rng *rand.Rand, down map[string]string) bool {
+	t.Helper()
+	name := fmt.Sprint("k", rng.IntN(50))
+	value := make([]byte, 20000)
+	for i := range value {
+		value[i] = byte(rng.Uint32())
+	}
+	done := make(chan error, 1)
+	if err := s.Write([]Change{{Name: name, Value: value}}, func(err error) { done <- err }); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-done:
+		if down[name] = string(value); err != nil {
+			down[name] = ""
+		}
+		return err == nil
+	case <-time.After(patience):
+		t.Fatal("nobody tells what became of a write")
+		return false
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -64,52 +65,49 @@
 
 // Store is an open folder.
 type Store struct {
-	dir      string
-	machine  string
-	db       *pebble.DB
+	config   Config
+	lock     io.Closer
 	identity Identity
-	writer   *writer
-}
-
-// quiet keeps what Pebble has to say out of the log: what matters comes back as errors.
-type quiet struct{}
+	writer   *writer // nil where it is only read
 
-func (quiet) Infof(string, ...interface{})  {}
-func (quiet) Errorf(string, ...interface{}) {}
-func (quiet) Fatalf(format string, args ...interface{}) {
-	panic(fmt.Sprintf("store: "+format, args...)) // the store can't go on, and can't say so otherwise
+	mu       sync.RWMutex
+	engine   *engine // nil after a failure, until the disk is well
+	stuck    int     // engines that failed and did not end
+	reopened uint64
 }
 
+// lockName is the file in a folder by which one process has it.
+const lockName = "LOCK"
+
 // Open opens a folder, and makes it where it is not there and may be written.
-func Open(c Config) (s *Store, err error) {
+func Open(c Config) (*Store, error) {
 	if c.FS == nil {
 		c.FS = vfs.Default
 	}
-	defer func() {
-		if r := recover(); r != nil { // Pebble panics on what it takes for its own fault, damage among it
-			err = fmt.Errorf("%s: %w: %v", c.Dir, ErrDamaged, r)
-		}
-		if err != nil && s != nil && s.db != nil {
-			s.db.Close()
-			s = nil
-		}
-	}()
 	if c.ReadOnly && !exists(c) {
 		return nil, fmt.Errorf("%s: %w", c.Dir, ErrNone)
 	}
-	cache := pebble.NewCache(cacheBytes)
-	defer cache.Unref()
-	db, err := pebble.Open(c.Dir, &pebble.Options{FS: c.FS, Cache: cache, MemTableSize: memTableBytes, MemTableStopWritesThreshold: 4,
-		MaxOpenFiles: openFiles, ReadOnly: c.ReadOnly, Logger: quiet{}, ErrorIfNotExists: c.ReadOnly, MaxConcurrentCompactions: func() int { return 1 }})
+	if !c.ReadOnly {
+		if err := c.FS.MkdirAll(c.Dir, 0o755); err != nil {
+			return nil, openError(c.Dir, err)
+		}
+	}
+	lock, err := c.FS.Lock(c.FS.PathJoin(c.Dir, lockName))
 	if err != nil {
 		return nil, openError(c.Dir, err)
 	}
-	s = &Store{dir: c.Dir, machine: c.Machine, db: db}
-	if err := s.identify(c); err != nil {
-		return s, err
+	s := &Store{config: c, lock: lock}
+	if s.engine, err = openEngine(c); err == nil {
+		if err = s.identify(c); err != nil {
+			s.engine.close() // why it is not used is told, whatever comes of this
+		}
+	}
+	if err != nil {
+		lock.Close()
+		return nil, err
 	}
 	if !c.ReadOnly {
-		s.writer = startWriter(db)
+		s.writer = startWriter(s)
 	}
 	return s, nil
 }
@@ -152,6 +150,9 @@
 	case errors.Is(err, fs.ErrPermission), errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EIO), errors.Is(err, fs.ErrNotExist):
 		return fmt.Errorf("%s: store: %w", dir, err)
 	}
+	if errors.Is(err, ErrDamaged) {
+		return fmt.Errorf("%s: %w", dir, err)
+	}
 	return fmt.Errorf("%s: %w: %w", dir, ErrDamaged, err)
 }
 
@@ -167,7 +168,7 @@
 
 // identify reads whose the folder is, or writes it into a new one.
 func (s *Store) identify(c Config) error {
-	text, closer, err := s.db.Get([]byte(identityKey))
+	text, closer, err := s.engine.db.Get([]byte(identityKey))
 	switch {
 	case errors.Is(err, pebble.ErrNotFound) && c.ReadOnly:
 		return fmt.Errorf("%s: %w", c.Dir, ErrNone)
@@ -193,7 +194,7 @@
 
 // name makes a new folder this server's. A folder that has records and no name lost it: it is nobody's.
 func (s *Store) name(c Config) error {
-	it, err := s.db.NewIter(nil)
+	it, err := s.engine.db.NewIter(nil)
 	if err != nil {
 		return fmt.Errorf("%s: store: %w", c.Dir, err)
 	}
@@ -211,7 +212,7 @@
 	s.identity = Identity{Version: Version, Server: c.Server, Site: c.Site, Secret: secret, Made: time.Now().UTC()}
 	text, err := json.Marshal(s.identity)
 	if err == nil {
-		err = s.db.Set([]byte(identityKey), text, pebble.Sync)
+		err = s.engine.do(func(db *pebble.DB) error { return db.Set([]byte(identityKey), text, pebble.Sync) })
 	}
 	if err == nil {
 		err = syncParent(c)
@@ -235,27 +236,28 @@
 func (s *Store) Identity() Identity { return s.identity }
 
 // Machine tells the machine apart on which the store is open.
-func (s *Store) Machine() string { return s.machine }
+func (s *Store) Machine() string { return s.config.Machine }
 
 // Secret is the folder's, by which bodies are summed.
 func (s *Store) Secret() []byte { return s.identity.Secret }
 
 // Each hands on all records whose names begin with the prefix, in the order of names, until visit returns an error. The
 // bytes are valid during the call only.
-func (s *Store) Each(prefix string, visit func(name, value []byte) error) (err error) {
-	defer damaged(&err)
+func (s *Store) Each(prefix string, visit func(name, value []byte) error) error {
 	low := append([]byte{userPrefix}, prefix...)
-	it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: low, UpperBound: after(low)})
-	if err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	for ok := it.First(); ok && err == nil; ok = it.Next() {
-		err = visit(it.Key()[1:], it.Value())
-	}
-	if other := it.Close(); err == nil && other != nil {
-		err = fmt.Errorf("store: %w", other)
-	}
-	return err
+	return s.use(func(db *pebble.DB) error {
+		it, err := db.NewIter(&pebble.IterOptions{LowerBound: low, UpperBound: after(low)})
+		if err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		for ok := it.First(); ok && err == nil; ok = it.Next() {
+			err = visit(it.Key()[1:], it.Value())
+		}
+		if other := it.Close(); err == nil && other != nil {
+			err = fmt.Errorf("store: %w", other)
+		}
+		return err
+	})
 }
 
 // after is the first name behind all that begin with the prefix.
@@ -271,48 +273,66 @@
 
 // Get is one record, or nil where there is none.
 func (s *Store) Get(name string) (value []byte, err error) {
-	defer damaged(&err)
-	v, closer, err := s.db.Get(append([]byte{userPrefix}, name...))
-	if errors.Is(err, pebble.ErrNotFound) {
-		return nil, nil
-	}
+	err = s.use(func(db *pebble.DB) error {
+		v, closer, err := db.Get(append([]byte{userPrefix}, name...))
+		if errors.Is(err, pebble.ErrNotFound) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		value = append([]byte{}, v...)
+		return closer.Close()
+	})
 	if err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	defer closer.Close()
-	return append([]byte{}, v...), nil
-}
-
-// damaged turns a panic of Pebble over a damaged file into an error.
-func damaged(err *error) {
-	if r := recover(); r != nil {
-		*err = fmt.Errorf("%w: %v", ErrDamaged, r)
+		return nil, err
 	}
+	return value, nil
 }
 
 // Compact rewrites all records, without those that were removed.
-func (s *Store) Compact() (err error) {
-	defer damaged(&err)
-	if err := s.db.Compact([]byte{0}, []byte{0xff, 0xff}, false); err != nil {
-		return fmt.Errorf("store: %w", err)
-	}
-	return nil
+func (s *Store) Compact() error {
+	return s.use(func(db *pebble.DB) error {
+		if err := db.Compact([]byte{0}, []byte{0xff, 0xff}, false); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
+		return nil
+	})
 }
 
 // Size is about how many bytes the folder takes.
-func (s *Store) Size() int64 {
-	m := s.db.Metrics()
-	return int64(m.DiskSpaceUsage())
+func (s *Store) Size() (n int64) {
+	s.use(func(db *pebble.DB) error { // a store that failed has none that can be told
+		m := db.Metrics()
+		n = int64(m.DiskSpaceUsage())
+		return nil
+	})
+	return n
 }
 
-// Close ends the writing, with all that was handed over, and lets go of the folder.
-func (s *Store) Close() (err error) {
-	defer damaged(&err)
+// Reopened is how often the records were taken up anew after a failure.
+func (s *Store) Reopened() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.reopened
+}
+
+// Close ends the writing, with all that was handed over, and lets go of the folder. It does not wait long for a disk that
+// stands still: what was told to be down is down, and the rest was promised to nobody.
+func (s *Store) Close() error {
+	var err error
 	if s.writer != nil {
-		s.writer.stop()
+		err = s.writer.stop()
 	}
-	if err := s.db.Close(); err != nil && !errors.Is(err, io.EOF) {
-		return fmt.Errorf("store: %w", err)
+	s.mu.Lock()
+	e := s.engine
+	s.engine = nil
+	s.mu.Unlock()
+	if e != nil {
+		err = errors.Join(err, e.close())
 	}
-	return nil
+	if err != nil {
+		err = fmt.Errorf("%s: %w", s.config.Dir, err)
+	}
+	return errors.Join(err, s.lock.Close())
 }
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/pebble"
 
@@ -35,7 +36,7 @@
 // writer is the goroutine that writes. What comes while a sync is under way goes down with the next one: the more comes,
 // the fewer syncs each change takes.
 type writer struct {
-	db      *pebble.DB
+	store   *Store
 	mu      sync.Mutex
 	wake    *sync.Cond
 	waiting []order
@@ -46,8 +47,8 @@
 	written uint64
 }
 
-func startWriter(db *pebble.DB) *writer {
-	w := &writer{db: db, ended: make(chan struct{})}
+func startWriter(s *Store) *writer {
+	w := &writer{store: s, ended: make(chan struct{})}
 	w.wake = sync.NewCond(&w.mu)
 	go w.run()
 	return w
@@ -114,38 +115,58 @@
 }
 
 // commit writes a batch with one sync.
-func (w *writer) commit(batch []order) (err error) {
-	defer damaged(&err)
-	b := w.db.NewBatch()
+func (w *writer) commit(batch []order) error {
+	e, err := w.store.working()
+	if err != nil {
+		return err
+	}
 	n := uint64(0)
+	for _, o := range batch {
+		n += uint64(len(o.changes))
+	}
+	if err := e.do(func(db *pebble.DB) error { return writeBatch(db, batch) }); err != nil {
+		w.store.abandon(e)
+		return fmt.Errorf("store: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.syncs++
+	w.written += n
+	return nil
+}
+
+// writeBatch writes changes that go down together.
+func writeBatch(db *pebble.DB, batch []order) (err error) {
+	b := db.NewBatch()
 	for _, o := range batch {
 		for _, c := range o.changes {
 			name := append([]byte{userPrefix}, c.Name...)
-			if n++; c.Value == nil {
+			if c.Value == nil {
 				err = b.Delete(name, nil)
 			} else {
 				err = b.Set(name, c.Value, nil)
 			}
 			if err != nil {
-				return fmt.Errorf("store: %w", err)
+				return err
 			}
 		}
 	}
 	if err := b.Commit(pebble.Sync); err != nil {
-		return fmt.Errorf("store: %w", err)
+		return err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.syncs++
-	w.written += n
 	return b.Close()
 }
 
-// stop ends the writing once all that waits is down.
-func (w *writer) stop() {
+// stop ends the writing once all that waits is down, or the disk stands still for too long.
+func (w *writer) stop() error {
 	w.mu.Lock()
 	w.closed = true
 	w.wake.Signal()
 	w.mu.Unlock()
-	<-w.ended
+	select {
+	case <-w.ended:
+		return nil
+	case <-time.After(closePatience):
+		return errStands
+	}
 }
