Measure what state costs on sound and stalling disks, and rehearse a full one

The cost of keeping state over a disk that stands still was not measured, and a full disk was only a stand-in's. tillerkit state serve is the server over a disk with habits; state cost compares none, sound and stalling in turn, with keyed requests at a rate on a connection of their own. Rewriting of the records is a chore now, with the budgets of the others and none while the server is pressed, instead of whenever Pebble likes. Syncs, changes and reopenings are counted in the log.

--- a/cmd/tillerkit/main.go
+++ b/cmd/tillerkit/main.go
@@ -49,11 +49,14 @@
 // status tells an error and turns it into an exit status.
 func status(err error, root *cobra.Command) int {
 	var input inputError
+	var served errServed
 	switch {
 	case err == nil:
 		return statusOK
 	case errors.Is(err, errFound):
 		return statusFound
+	case errors.As(err, &served):
+		return served.status // it said why
 	case errors.As(err, &input):
 		fmt.Fprintln(root.ErrOrStderr(), err)
 		return statusNoInput
--- a/cmd/tillerkit/state.go
+++ b/cmd/tillerkit/state.go
@@ -14,7 +14,7 @@
 	c := &cobra.Command{Use: "state", Short: "Look into what a server keeps over restarts, check and mend it",
 		Long: "state looks into the folder of `tillerusher serve --state DIR`; docs/state.md says what is in it. A folder that a server\n" +
 			"uses can't be opened: stop the server, or copy the folder." + statuses}
-	c.AddCommand(stateInfoCommand(), stateVerifyCommand(), stateDumpCommand(), stateRepairCommand(), stateExpireCommand())
+	c.AddCommand(stateInfoCommand(), stateVerifyCommand(), stateDumpCommand(), stateRepairCommand(), stateExpireCommand(), stateServeCommand(), stateCostCommand())
 	return c
 }
 
@@ -190,7 +190,7 @@
 			if err := removed(s, names); err != nil {
 				return err
 			}
-			if err := s.Compact(); err != nil {
+			if err := s.CompactAll(); err != nil {
 				return inputError{err}
 			}
 			p.line("%d records %s", len(names), word)
--- /dev/null
+++ b/cmd/tillerkit/statecost.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/pebble/vfs"
+	"github.com/spf13/cobra"
+
+	"tillerusher/internal/sickdisk"
+	"tillerusher/internal/store"
+	"tillerusher/internal/storm"
+	"tillerusher/server"
+)
+
+// errServed is the status of a server that this program was.
+type errServed struct{ status int }
+
+func (e errServed) Error() string { return fmt.Sprintf("the server ended with status %d", e.status) }
+
+// sickFlags are the flags of a disk's habits.
+func sickFlags(cmd *cobra.Command, h *sickdisk.Habits) {
+	f := cmd.Flags()
+	f.DurationVar(&h.Stall, "stall", h.Stall, "how long the disk stands still at a time")
+	f.DurationVar(&h.Every, "every", max(h.Every, time.Second), "from the begin of one such time to the next")
+}
+
+func stateServeCommand() *cobra.Command {
+	var h sickdisk.Habits
+	var dir string
+	cmd := &cobra.Command{Use: "serve", Short: "Be a catalogue server that keeps its state on a sick disk",
+		Long: "serve is `tillerusher serve --state DIR` over a disk that stands still now and then or is full at times, to rehearse\n" +
+			"what a server does then. Without --dir nothing is kept. It is configured as tillerusher is, and its exit status is\n" +
+			"tillerusher's: 0 after a drain, 1 when serving failed, 2 for wrong arguments, settings or configuration.",
+		Example: "  RELAY_CONFIG=/run/balancer/config.json tillerkit state serve --dir /tmp/state --stall 100ms --every 1s\n" +
+			"  RELAY_CONFIG=/run/balancer/config.json tillerkit state serve --dir /tmp/state --full-while /tmp/full  # touch /tmp/full",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := h.Check(); err != nil {
+				return err
+			}
+			args := []string{"serve"}
+			if dir != "" {
+				args = append(args, "--state", dir)
+			}
+			status := server.StateMain(args, os.Getenv, os.Stderr, func(ctx context.Context, f server.Folder) (server.Keeper, error) {
+				return store.OpenWait(ctx, store.Config{Dir: f.Directory, Server: f.Server, Site: f.Site, FS: sickdisk.Wrap(vfs.Default, h)}, f.Waiting)
+			})
+			if status != 0 {
+				return errServed{status}
+			}
+			return nil
+		}}
+	sickFlags(cmd, &h)
+	f := cmd.Flags()
+	f.StringVar(&dir, "dir", "", "directory in which results of keyed requests are kept")
+	f.StringVar(&h.FullWhile, "full-while", "", "file while whose presence the disk is full")
+	return cmd
+}
+
+func stateCostCommand() *cobra.Command {
+	c := storm.StateCostConfig{HoldConfig: storm.HoldConfig{Gateways: 8, Open: 8, For: 5 * time.Second, Rounds: 5, Pin: 0}, KeyedRate: 100,
+		Sick: sickdisk.Habits{Stall: 100 * time.Millisecond, Every: time.Second}}
+	cmd := &cobra.Command{Use: "cost", Short: "Measure what keeping state costs a daemon on one core",
+		Long: "cost has a daemon on one core answer as many lookups as it can, beside keyed requests at a rate on a connection of their\n" +
+			"own: with nothing kept, on the disk of the temporary directory, and on that disk standing still now and then, in\n" +
+			"turn. It prints the medians of the ratios to nothing kept." + statuses,
+		Example: "  tillerkit state cost --keyed-rate 500 --rounds 3\n  tillerkit state cost --stall 100ms --every 500ms",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := newPrinter(cmd)
+			if c.Rounds < 1 || c.Gateways < 1 || c.Open < 1 || c.Open > 32 || c.For <= 0 || !(c.KeyedRate > 0) {
+				return errors.New("rounds, gateways, time and the rate must be more than 0, open requests 1 to 32")
+			}
+			if err := c.Sick.Check(); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			c.Daemon, c.Progress = self, progressOf("rounds", 3*c.Rounds)
+			r, err := storm.MeasureStateCost(cmd.Context(), c)
+			if err != nil {
+				return inputError{err}
+			}
+			for _, l := range r.Rounds {
+				p.line("disk %-8s  lookups %8.0f/s p50 %7.3f p99 %7.3f p99.9 %7.3f ms  keyed %5.0f/s p50 %7.3f p99 %7.3f p99.9 %7.3f ms, %d not served, %.2f syncs each",
+					l.Disk, l.Lookups.Rate, l.Lookups.P50, l.Lookups.P99, l.Lookups.P999, l.Keyed.Rate, l.Keyed.P50, l.Keyed.P99, l.Keyed.P999, l.Refused, l.Syncs)
+			}
+			for _, disk := range []storm.Disk{storm.SoundDisk, storm.SickDisk} {
+				for _, class := range []string{"lookups", "keyed"} {
+					m := r.Ratio[disk][class]
+					p.line("%s over none, %s, median of %d: rate %.3f, p50 %.3f, p99 %.3f, p99.9 %.3f", disk, class, c.Rounds, m["rate"], m["p50"], m["p99"], m["p999"])
+				}
+				p.line("%s over none, CPU a lookup: %.3f", disk, r.Ratio[disk]["lookups"]["cpu"])
+			}
+			return p.object(r)
+		}}
+	sickFlags(cmd, &c.Sick)
+	f := cmd.Flags()
+	f.Float64Var(&c.KeyedRate, "keyed-rate", c.KeyedRate, "keyed requests a second")
+	f.IntVar(&c.Gateways, "gateways", c.Gateways, "connections of lookups")
+	f.IntVar(&c.Open, "open", c.Open, "lookups that each connection keeps open")
+	f.DurationVar(&c.For, "for", c.For, "length of each round")
+	f.IntVar(&c.Rounds, "rounds", c.Rounds, "rounds of each disk")
+	f.IntVar(&c.Pin, "pin", c.Pin, "core on which the daemon is kept; -1 is any")
+	return cmd
+}
--- a/cmd/tillerusher/main_test.go
+++ b/cmd/tillerusher/main_test.go
@@ -21,6 +21,9 @@
 // program starts the built command by the line of the deploy file, which the tests start as the platform does.
 var program string
 
+// kit is the operators' kit, which plays servers with sick disks.
+var kit string
+
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
@@ -35,7 +38,7 @@
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
-	if out, err := exec.Command("go", "build", "-o", dir, "../tillerusher-state").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir, "../tillerusher-state", "../tillerkit").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
@@ -46,6 +49,7 @@
 		return 1
 	}
 	program = strings.Replace(string(line[1]), "bin/tillerusher", binary, 1)
+	kit = filepath.Join(dir, "tillerkit")
 	return m.Run()
 }
 
--- a/cmd/tillerusher/state_test.go
+++ b/cmd/tillerusher/state_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -186,6 +188,56 @@
 	}
 }
 
+// TestStateFullDisk has the disk of a real server be full for a while, again and again: keyed requests are refused meanwhile,
+// lookups served, and keyed ones taken again by itself.
+func TestStateFullDisk(t *testing.T) {
+	full := filepath.Join(t.TempDir(), "full")
+	it := testkit.NewInterpreter(t)
+	it.Prompt()
+	n := testkit.Start(t, "exec "+kit+" state serve --dir "+t.TempDir()+" --full-while "+full, it, nil)
+	n.WaitUp()
+	g := testkit.Dial(t, n.Addr)
+	number := 0
+	ask := func() standin.Answer {
+		number++
+		g.Write(standin.Reserve(number, "b").Records(1))
+		return g.Answer(1)
+	}
+	for round := range 3 {
+		if a := ask(); a.Status != 200 {
+			t.Fatalf("round %d: %+v", round, a)
+		}
+		if err := os.WriteFile(full, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		testkit.Wait(t, "the disk to be found full", func() bool { return ask().Status == 503 })
+		applied := len(it.Applied())
+		if a := ask(); a.Status != 503 || a.Header.Get("Back-Off-Ms") == "" {
+			t.Errorf("round %d: a keyed request with a full disk: %+v", round, a)
+		}
+		if len(it.Applied()) != applied {
+			t.Error("a request that was refused ran")
+		}
+		g.Write(standin.Lookup("x").Records(2))
+		if a := g.Answer(2); a.Status != 200 {
+			t.Errorf("round %d: a lookup with a full disk: %+v", round, a)
+		}
+		if err := os.Remove(full); err != nil {
+			t.Fatal(err)
+		}
+		testkit.Wait(t, "the disk to be asked again", func() bool { return ask().Status == 200 })
+	}
+	for _, line := range []string{"state not written", "no space left on device", "state written again"} {
+		if !strings.Contains(n.Log(), line) {
+			t.Errorf("the log lacks %q", line)
+		}
+	}
+	n.Signal(syscall.SIGTERM)
+	if status := n.WaitExit(); status != 0 {
+		t.Errorf("status %d after the drain", status)
+	}
+}
+
 // TestStateRelease has a successor start while the process before it drains on the same folder: it waits, and answers
 // repeats of what the drain finished.
 func TestStateRelease(t *testing.T) {
--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -11,6 +11,13 @@
 	Value []byte
 }
 
+// StoreCounts count what a store did with changes.
+type StoreCounts struct {
+	Syncs    uint64 // of batches of changes
+	Changes  uint64 // that are down
+	Reopened uint64 // times that the records were taken up anew after a failure
+}
+
 // Limits bound what is kept. The rule at the bound: an intent is never dropped within its window; answers are given up
 // oldest first, and their repeats fail; where even that leaves no room, new keyed requests are turned away.
 type Limits struct {
--- /dev/null
+++ b/internal/sickdisk/sickdisk.go
@@ -0,0 +1,72 @@
+// Package sickdisk is a file layer with the habits of a sick disk, for rehearsals and measurements: one that stands still now
+// and then, and one that is full for a while. The programs that serve do not link it.
+package sickdisk
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/pebble/vfs"
+	"github.com/cockroachdb/pebble/vfs/errorfs"
+)
+
+// Habits are what a disk does; the zero value is a sound one.
+type Habits struct {
+	Stall     time.Duration // how long it stands still at a time
+	Every     time.Duration // from the begin of one such time to the next
+	FullWhile string        // it is full while a file of this name is there; "" is never
+}
+
+// Check names the first value that makes no sense.
+func (h Habits) Check() error {
+	switch {
+	case h.Stall < 0 || h.Stall > 0 && h.Every <= h.Stall:
+		return fmt.Errorf("sickdisk: a disk that stands still for %v every %v, want it to go on in between", h.Stall, h.Every)
+	}
+	return nil
+}
+
+// stands is for how long a call waits that comes at a time.
+func (h Habits) stands(at time.Duration) time.Duration {
+	if h.Stall <= 0 {
+		return 0
+	}
+	return max(h.Stall-at%h.Every, 0)
+}
+
+// full tells whether there is no room.
+func (h Habits) full() bool {
+	if h.FullWhile == "" {
+		return false
+	}
+	_, err := os.Stat(h.FullWhile)
+	return err == nil
+}
+
+// takesRoom are the calls that a full disk fails.
+func takesRoom(op errorfs.Op) bool {
+	switch op {
+	case errorfs.OpCreate, errorfs.OpFileWrite, errorfs.OpFileWriteAt, errorfs.OpFilePreallocate, errorfs.OpMkdirAll, errorfs.OpReuseForRewrite:
+		return true
+	}
+	return false
+}
+
+// Wrap gives a file layer habits. Calls that write wait while the disk stands still.
+func Wrap(fsys vfs.FS, h Habits) vfs.FS {
+	begun := time.Now()
+	return errorfs.Wrap(fsys, errorfs.InjectorFunc(func(op errorfs.Op, _ string) error {
+		if op.OpKind() != errorfs.OpKindWrite {
+			return nil
+		}
+		if wait := h.stands(time.Since(begun)); wait > 0 {
+			time.Sleep(wait)
+		}
+		if takesRoom(op) && h.full() {
+			return syscall.ENOSPC
+		}
+		return nil
+	}))
+}
--- a/internal/store/engine.go
+++ b/internal/store/engine.go
@@ -34,6 +34,8 @@
 const (
 	// closePatience is how long the end of an engine is waited for.
 	closePatience = 500 * time.Millisecond
+	// mostFiles is how many files may wait to be rewritten: so many that writes never wait for it. Reads are at the start only.
+	mostFiles = 1 << 20
 	// mostStuck is how many engines may fail without an end. Each holds on to about a megabyte.
 	mostStuck = 8
 	// probeBytes is how much room a disk has to have, and to take down, before records are taken up again.
@@ -63,7 +65,8 @@
 	var db *pebble.DB
 	err := e.guard(func() (err error) {
 		db, err = pebble.Open(c.Dir, &pebble.Options{FS: unlocked{disk}, Cache: cache, MemTableSize: memTableBytes, MemTableStopWritesThreshold: 4,
-			MaxOpenFiles: openFiles, ReadOnly: c.ReadOnly, Logger: e, ErrorIfNotExists: c.ReadOnly, MaxConcurrentCompactions: func() int { return 1 }})
+			MaxOpenFiles: openFiles, ReadOnly: c.ReadOnly, Logger: e, ErrorIfNotExists: c.ReadOnly, MaxConcurrentCompactions: func() int { return 1 },
+			DisableAutomaticCompactions: true, L0StopWritesThreshold: mostFiles})
 		return err
 	})
 	if err != nil {
--- a/internal/store/linear_test.go
+++ b/internal/store/linear_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/pebble/vfs"
+
+	"tillerusher/internal/durable"
 )
 
 // touch is one operation on one record: a write of a value, or a read where it is nil.
@@ -107,25 +109,36 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			value := make([]byte, 300)
+			chance := rand.New(rand.NewPCG(1, 2))
+			body := make([]byte, 150) // of which nothing can be compressed away
 			for at := 0; at < n; at += 1000 {
 				var changes []Change
-				for i := range 1000 {
-					changes = append(changes, Change{Name: fmt.Sprintf("k/stock-reserve\x00%032x", uint64(at+i)*0x9e3779b97f4a7c15), Value: value})
+				for range 1000 {
+					for i := range body {
+						body[i] = byte(chance.Uint32())
+					}
+					e := durable.Entry{Key: durable.Key{Class: "stock-reserve", Key: fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())},
+						State: durable.Done, Stamp: time.Now(), Until: time.Now(), Sum: chance.Uint64(), Answer: durable.Answer{Status: 200, Body: body,
+							Fields: []durable.Field{{Name: "Content-Type", Value: "application/json"}}}}
+					changes = append(changes, Change{Name: e.Key.Name(), Value: e.Encode()})
 				}
 				if err := write(s, changes...); err != nil {
 					b.Fatal(err)
 				}
 			}
-			size := s.Size()
+			if _, err := s.Compact(); err != nil { // as a server does in a quiet moment
+				b.Fatal(err)
+			}
 			if err := s.Close(); err != nil {
 				b.Fatal(err)
 			}
+			size := int64(0)
 			for b.Loop() {
 				s, err := Open(Config{Dir: dir, Server: "n3", Site: "s"})
 				if err != nil {
 					b.Fatal(err)
 				}
+				size = s.Size()
 				read := 0
 				if err := s.Each("", func(_, _ []byte) error { read++; return nil }); err != nil || read != n {
 					b.Fatalf("%d records, %v", read, err)
@@ -149,7 +162,7 @@
 			}
 			defer s.Close()
 			value := make([]byte, 100)
-			before, _ := s.Counts()
+			before := s.Counts().Syncs
 			var all sync.WaitGroup
 			next, n := time.Now(), 0
 			for b.Loop() {
@@ -162,8 +175,7 @@
 				}
 			}
 			all.Wait()
-			syncs, _ := s.Counts()
-			b.ReportMetric(float64(syncs-before)/float64(n), "syncs/write")
+			b.ReportMetric(float64(s.Counts().Syncs-before)/float64(n), "syncs/write")
 		})
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -290,14 +290,33 @@
 	return value, nil
 }
 
-// Compact rewrites all records, without those that were removed.
-func (s *Store) Compact() error {
-	return s.use(func(db *pebble.DB) error {
-		if err := db.Compact([]byte{0}, []byte{0xff, 0xff}, false); err != nil {
-			return fmt.Errorf("store: %w", err)
+// compactLeast is how much has to lie in files that were never rewritten before it is worth while.
+const compactLeast = 1 << 20
+
+// Compact rewrites all records without those that were removed, where much was written since the last time, and returns how
+// many bytes that was. Nothing else rewrites them: when it is done is the caller's affair.
+func (s *Store) Compact() (bytes int64, err error) {
+	err = s.use(func(db *pebble.DB) error {
+		if bytes = db.Metrics().Levels[0].Size; bytes < compactLeast {
+			bytes = 0
+			return nil
 		}
-		return nil
+		return compact(db)
 	})
+	if err != nil {
+		return 0, err
+	}
+	return bytes, nil
+}
+
+// CompactAll is Compact however little was written.
+func (s *Store) CompactAll() error { return s.use(compact) }
+
+func compact(db *pebble.DB) error {
+	if err := db.Compact([]byte{0}, []byte{0xff, 0xff}, false); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
 }
 
 // Size is about how many bytes the folder takes.
@@ -310,13 +329,6 @@
 	return n
 }
 
-// Reopened is how often the records were taken up anew after a failure.
-func (s *Store) Reopened() uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.reopened
-}
-
 // Close ends the writing, with all that was handed over, and lets go of the folder. It does not wait long for a disk that
 // stands still: what was told to be down is down, and the rest was promised to nobody.
 func (s *Store) Close() error {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -318,8 +318,8 @@
 		}
 	}
 	all.Wait()
-	if syncs, changes := s.Counts(); changes != 5000 || syncs > 4000 {
-		t.Errorf("%d changes took %d syncs", changes, syncs)
+	if c := s.Counts(); c.Changes != 5000 || c.Syncs > 4000 {
+		t.Errorf("%+v", c)
 	}
 	if err := s.Write([]Change{{Name: "x", Value: make([]byte, mostWaiting+1)}}, nil); !errors.Is(err, ErrBusy) {
 		t.Errorf("more than may wait: %v", err)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -75,11 +75,14 @@
 	return nil
 }
 
-// Counts are how many syncs there were, and how many changes went down with them.
-func (s *Store) Counts() (syncs, changes uint64) {
+// Counts are what the store did since it was opened.
+func (s *Store) Counts() durable.StoreCounts {
+	s.mu.RLock()
+	reopened := s.reopened
+	s.mu.RUnlock()
 	s.writer.mu.Lock()
 	defer s.writer.mu.Unlock()
-	return s.writer.syncs, s.writer.written
+	return durable.StoreCounts{Syncs: s.writer.syncs, Changes: s.writer.written, Reopened: reopened}
 }
 
 // run writes until it is stopped and nothing waits.
--- a/internal/storm/hold.go
+++ b/internal/storm/hold.go
@@ -24,6 +24,14 @@
 	P999    float64 `json:"p999_ms"`
 	CPU     float64 `json:"cpu_us"` // of the daemon, for each answer
 	Lost    float64 `json:"lost"`   // records that were not captured
+
+	all *hdrhistogram.Histogram
+}
+
+// fill computes what is told of latencies.
+func (l *Load) fill(h *hdrhistogram.Histogram, over time.Duration) {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	l.all, l.Rate, l.P50, l.P99, l.P999 = h, float64(h.TotalCount())/over.Seconds(), ms(50), ms(99), ms(99.9)
 }
 
 // Cost compares loads with the capture on and off that were taken in turn.
@@ -43,6 +51,17 @@
 	Progress func(done, of int)
 }
 
+// ratios are those of two loads.
+func ratios(a, b *Load) map[string]float64 {
+	return map[string]float64{"rate": a.Rate / b.Rate, "p50": a.P50 / b.P50, "p99": a.P99 / b.P99, "p999": a.P999 / b.P999, "cpu": a.CPU / b.CPU}
+}
+
+// median is the middle of a list, which it sorts.
+func median(list []float64) float64 {
+	slices.Sort(list)
+	return (list[(len(list)-1)/2] + list[len(list)/2]) / 2
+}
+
 // MeasureCost has a daemon on one core answer as much as it can, in rounds with the capture on and off in turn. Runs
 // take no time, so that the daemon's own work is all there is.
 func MeasureCost(ctx context.Context, c HoldConfig) (*Cost, error) {
@@ -52,7 +71,7 @@
 	}
 	defer os.RemoveAll(dir)
 	cost := &Cost{Ratio: map[string]float64{}}
-	ratios := map[string][]float64{}
+	of := map[string][]float64{}
 	for round := range 2 * c.Rounds {
 		if err := ctx.Err(); err != nil {
 			return nil, err
@@ -63,40 +82,38 @@
 		if on {
 			args = append(args, "--capture", filepath.Join(dir, fmt.Sprint(round)))
 		}
-		l, err := hold(c, args)
+		l, _, err := hold(c, args, nil)
 		if err != nil {
 			return nil, err
 		}
 		l.Capture = on
 		cost.Rounds = append(cost.Rounds, *l)
 		if round%2 == 1 {
-			a, b := cost.Rounds[round], cost.Rounds[round-1]
+			a, b := &cost.Rounds[round], &cost.Rounds[round-1]
 			if !a.Capture {
 				a, b = b, a
 			}
-			for name, v := range map[string]float64{"rate": a.Rate / b.Rate, "p50": a.P50 / b.P50, "p99": a.P99 / b.P99,
-				"p999": a.P999 / b.P999, "cpu": a.CPU / b.CPU} {
-				ratios[name] = append(ratios[name], v)
+			for name, v := range ratios(a, b) {
+				of[name] = append(of[name], v)
 			}
 		}
 		if c.Progress != nil {
 			c.Progress(round+1, 2*c.Rounds)
 		}
 	}
-	for name, list := range ratios {
-		slices.Sort(list)
-		cost.Ratio[name] = (list[(len(list)-1)/2] + list[len(list)/2]) / 2
+	for name, list := range of {
+		cost.Ratio[name] = median(list)
 	}
 	return cost, nil
 }
 
-// hold runs one round.
-func hold(c HoldConfig, args []string) (*Load, error) {
+// hold runs one round, with a further caller where there is one, and returns the daemon, which has ended, as well.
+func hold(c HoldConfig, args []string, further func(d *daemon, end time.Time) error) (*Load, *daemon, error) {
 	cfg := Defaults()
 	cfg.Daemon, cfg.Args, cfg.Pin = c.Daemon, args, c.Pin
 	d, err := start(cfg)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer d.kill()
 	d.interpreter.Instant()
@@ -104,36 +121,46 @@
 	var mu sync.Mutex
 	all, errs := hdrhistogram.New(1, longest.Microseconds(), 3), []error(nil)
 	var callers sync.WaitGroup
-	for range c.Gateways {
+	call := func(work func() error) {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
-			h, err := caller(d.addr, c.Open, end)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
+			if err := work(); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
 				errs = append(errs, err)
-				return
 			}
-			all.Merge(h)
 		}()
 	}
+	for range c.Gateways {
+		call(func() error {
+			h, err := caller(d.addr, c.Open, end)
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				all.Merge(h)
+			}
+			return err
+		})
+	}
+	if further != nil {
+		call(func() error { return further(d, end) })
+	}
 	callers.Wait()
 	if len(errs) > 0 {
-		return nil, fmt.Errorf("storm: %w", errs[0])
+		return nil, nil, fmt.Errorf("storm: %w", errs[0])
 	}
 	d.cmd.Process.Signal(syscall.SIGTERM) // the status tells whether it came
 	if code, err := d.wait(); err != nil || code != 0 {
-		return nil, fmt.Errorf("storm: the daemon ended with status %d: %w", code, err)
+		return nil, nil, fmt.Errorf("storm: the daemon ended with status %d: %w", code, err)
 	}
-	ms := func(q float64) float64 { return float64(all.ValueAtQuantile(q)) / 1000 }
 	state := d.cmd.ProcessState
-	l := &Load{Rate: float64(all.TotalCount()) / c.For.Seconds(), P50: ms(50), P99: ms(99), P999: ms(99.9),
-		CPU: float64((state.UserTime() + state.SystemTime()).Microseconds()) / float64(max(all.TotalCount(), 1))}
+	l := &Load{CPU: float64((state.UserTime() + state.SystemTime()).Microseconds()) / float64(max(all.TotalCount(), 1))}
+	l.fill(all, c.For)
 	if m := d.logged("capture"); m != nil {
 		l.Lost, _ = m["lost"].(float64)
 	}
-	return l, nil
+	return l, d, nil
 }
 
 // caller keeps so many requests open on one connection until the end, and returns how long each took.
--- a/server/journal.go
+++ b/server/journal.go
@@ -23,6 +23,10 @@
 	Get(name string) ([]byte, error) // nil where there is none
 	Secret() []byte
 	Machine() string
+	// Compact gives back the room of what was removed, if there is much, and returns how many bytes it rewrote. It may take
+	// long, and is called from a goroutine of its own.
+	Compact() (int64, error)
+	Counts() durable.StoreCounts
 	Close() error
 }
 
@@ -48,10 +52,11 @@
 
 // The background work on state, and what it may take of each second.
 const (
-	choreExpire = "expire"
-	choreSave   = "save"
-	choreTime   = 20 * time.Millisecond
-	choreBytes  = 256 << 10
+	choreExpire  = "expire"
+	choreSave    = "save"
+	choreCompact = "compact"
+	choreTime    = 20 * time.Millisecond
+	choreBytes   = 2 << 20
 )
 
 // journal carries out what internal/durable decides: the intent of a keyed run is down before it is asked for, and its
@@ -76,7 +81,8 @@
 	var err error
 	j.chores, err = chores.New(chores.Budget{Time: choreTime, Bytes: choreBytes}, 0,
 		chores.Chore{Name: choreExpire, Priority: 2, Every: time.Second, Deadline: 10 * time.Second},
-		chores.Chore{Name: choreSave, Priority: 1, Every: 10 * time.Second, Deadline: 2 * time.Minute})
+		chores.Chore{Name: choreSave, Priority: 1, Every: 10 * time.Second, Deadline: 2 * time.Minute},
+		chores.Chore{Name: choreCompact, Priority: 0, Every: 5 * time.Second, Deadline: time.Minute})
 	if err != nil {
 		return err
 	}
@@ -286,6 +292,9 @@
 	for name := j.chores.Next(now.Sub(j.begun), pressed); name != ""; name = j.chores.Next(now.Sub(j.begun), pressed) {
 		begun, cost := time.Now(), chores.Cost{}
 		switch name {
+		case choreCompact:
+			j.compact()
+			continue // its end is heard of later
 		case choreExpire:
 			changes := j.rules.Expire(now.Round(0), expireMost)
 			for _, c := range changes {
@@ -300,14 +309,30 @@
 	}
 }
 
+// compact gives back room on the disk, off the loop.
+func (j *journal) compact() {
+	go func() {
+		begun := time.Now()
+		bytes, err := j.keep.Compact()
+		took := time.Since(begun)
+		j.loop.Post(func() {
+			j.chores.Done(choreCompact, j.loop.Now().Sub(j.begun), chores.Cost{Time: took, Bytes: bytes})
+			if err != nil { // writes find out by themselves how the disk does
+				j.log.Warn("state not compacted", zap.Error(err))
+			}
+		})
+	}()
+}
+
 // readings are the journal's counters.
 func (j *journal) readings() []reading {
-	c := &j.rules.Count
+	c, k := &j.rules.Count, j.keep.Counts()
 	keys, bytes := j.rules.Size()
 	return []reading{{"state_keys", uint64(keys)}, {"state_bytes", uint64(bytes)}, {"state_mode", uint64(j.rules.Mode())}, {"intents", c.Intents},
 		{"results_kept", c.Results}, {"keys_freed", c.Dropped}, {"keys_expired", c.Expired}, {"answers_given_up", c.GivenUp},
 		{"turned_away_no_room", c.NoRoom}, {"turned_away_no_disk", c.NoDisk}, {"write_failures", c.Failures}, {"disk_recoveries", c.Recoveries},
-		{"unprotected", j.unprotected}, {"recovered", j.recovered}, {"records_unread", j.unread}}
+		{"unprotected", j.unprotected}, {"recovered", j.recovered}, {"records_unread", j.unread}, {"syncs", k.Syncs}, {"changes", k.Changes},
+		{"reopened", k.Reopened}}
 }
 
 // close ends the keeping, with all that was handed over.
--- a/server/journal_test.go
+++ b/server/journal_test.go
@@ -88,8 +88,10 @@
 	return k.records[name], nil
 }
 
-func (k *keeper) Secret() []byte  { return []byte("secret") }
-func (k *keeper) Machine() string { return "m" }
+func (k *keeper) Secret() []byte              { return []byte("secret") }
+func (k *keeper) Machine() string             { return "m" }
+func (k *keeper) Counts() durable.StoreCounts { return durable.StoreCounts{} }
+func (k *keeper) Compact() (int64, error)     { return 0, nil }
 func (k *keeper) Close() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
