--- a/cmd/tillerkit/state.go
+++ b/cmd/tillerkit/state.go
@@ -14,7 +14,7 @@
 	c := &cobra.Command{Use: "state", Short: "Look into what a server keeps over restarts, check and mend it",
 		Long: "state looks into the folder of `tillerusher serve --state DIR`; docs/state.md says what is in it. A folder that a server\n" +
 			"uses can't be opened: stop the server, or copy the folder." + statuses}
-	c.AddCommand(stateInfoCommand(), stateVerifyCommand(), stateDumpCommand(), stateRepairCommand(), stateExpireCommand(), stateServeCommand(), stateCostCommand())
+	c.AddCommand(stateInfoCommand(), stateVerifyCommand(), stateDumpCommand(), stateRepairCommand(), stateExpireCommand(), stateServeCommand(), stateCostCommand(), stateRecoveryCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/store/damage_test.go
@@ -0,0 +1,113 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"path"
+	"testing"
+
+	"github.com/cockroachdb/pebble/vfs"
+)
+
+// FuzzIdentity reads any text as a folder's identity: an error is one of the two that there are, and what is read is whole.
+func FuzzIdentity(f *testing.F) {
+	f.Add([]byte(`{"version":1,"server":"n3","site":"s","secret":"AAAAAAAAAAAAAAAAAAAAAA==","made":"2026-12-01T12:00:00Z"}`))
+	f.Add([]byte(`{"version":2,"secret":7}`))
+	f.Add([]byte(`{"version":1,"secret":"AA=="}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		id, err := parseIdentity(text)
+		if err == nil && (id.Version != Version || len(id.Secret) != secretBytes) || err != nil && !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) {
+			t.Errorf("%+v, %v", id, err)
+		}
+	})
+}
+
+// copyOf is a file layer of its own with the files of a folder.
+func copyOf(t testing.TB, from vfs.FS, damage func(name string, text []byte) []byte) vfs.FS {
+	t.Helper()
+	to := vfs.NewMem()
+	names, err := from.List("/state")
+	if err == nil {
+		err = to.MkdirAll("/state", 0o755)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		in, err := from.Open(path.Join("/state", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in.Close()
+		out, err := to.Create(path.Join("/state", name))
+		if err == nil {
+			_, err = out.Write(damage(name, text))
+		}
+		if err == nil {
+			err = out.Close()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return to
+}
+
+// FuzzFolder damages a byte of a file of a folder, or cuts the file there: opening and reading it ends with the records as they
+// were written, some of them missing at the most, or with an error. It never panics and never stands still.
+func FuzzFolder(f *testing.F) {
+	sound := vfs.NewMem()
+	s := open(f, sound)
+	for i := range 40 {
+		if err := write(s, Change{Name: fmt.Sprint("k", i), Value: fmt.Appendf(nil, "value %d", i)}); err != nil {
+			f.Fatal(err)
+		}
+		if i == 20 {
+			if err := s.CompactAll(); err != nil { // half of them in a table, half in a log
+				f.Fatal(err)
+			}
+		}
+	}
+	if err := s.Close(); err != nil {
+		f.Fatal(err)
+	}
+	for n := range uint8(12) {
+		f.Add(n, uint32(n)*37, byte(1<<(n%8)))
+		f.Add(n, uint32(20), byte(0))
+	}
+	f.Fuzz(func(t *testing.T, file uint8, at uint32, mask byte) {
+		names, err := sound.List("/state")
+		if err != nil {
+			t.Fatal(err)
+		}
+		victim := names[int(file)%len(names)]
+		damaged := copyOf(t, sound, func(name string, text []byte) []byte {
+			if name != victim || len(text) == 0 {
+				return text
+			}
+			place := int(at) % len(text)
+			if mask == 0 {
+				return text[:place]
+			}
+			text = append([]byte(nil), text...)
+			text[place] ^= mask
+			return text
+		})
+		s, err := Open(config(damaged))
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		s.Each("", func(name, value []byte) error { // an error names the damage
+			if want := "value " + string(name[1:]); string(value) != want {
+				t.Errorf("%s is %q, want %q", name, value, want)
+			}
+			return nil
+		})
+	})
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -178,12 +178,10 @@
 		return fmt.Errorf("%s: %w: %w", c.Dir, ErrDamaged, err)
 	}
 	defer closer.Close()
-	if err := json.Unmarshal(text, &s.identity); err != nil {
-		return fmt.Errorf("%s: %w: its identity: %w", c.Dir, ErrDamaged, err)
+	if s.identity, err = parseIdentity(text); err != nil {
+		return fmt.Errorf("%s: %w", c.Dir, err)
 	}
 	switch id := s.identity; {
-	case id.Version > Version:
-		return fmt.Errorf("%s: %w: version %d, this program reads up to %d", c.Dir, ErrNewer, id.Version, Version)
 	case c.Server != "" && id.Server != c.Server:
 		return fmt.Errorf("%s: %w: it is %s's, not %s's", c.Dir, ErrOther, id.Server, c.Server)
 	case c.Site != "" && id.Site != c.Site:
@@ -192,6 +190,21 @@
 	return nil
 }
 
+// parseIdentity reads whose a folder is. Of a newer version nothing but that is known.
+func parseIdentity(text []byte) (Identity, error) {
+	var id Identity
+	err := json.Unmarshal(text, &id)
+	switch {
+	case id.Version > Version:
+		return id, fmt.Errorf("%w: version %d, this program reads up to %d", ErrNewer, id.Version, Version)
+	case err != nil:
+		return id, fmt.Errorf("%w: its identity: %w", ErrDamaged, err)
+	case id.Version < 1 || len(id.Secret) != secretBytes:
+		return id, fmt.Errorf("%w: its identity: version %d, a secret of %d bytes, want 1 and %d", ErrDamaged, id.Version, len(id.Secret), secretBytes)
+	}
+	return id, nil
+}
+
 // name makes a new folder this server's. A folder that has records and no name lost it: it is nobody's.
 func (s *Store) name(c Config) error {
 	it, err := s.engine.db.NewIter(nil)
--- a/internal/storm/config.go
+++ b/internal/storm/config.go
@@ -28,6 +28,8 @@
 	Tail     int            // first tries that come in the drain
 	CutLink  bool           // the interpreter's link is cut three times
 	Reload   bool           // SIGHUP comes half way
+	Restart  bool           // the daemon is killed half way, and started again
+	Forget   string         // directory that is removed while it is down; "" is none
 	Pin      int            // core that the daemon is kept on; -1 is any
 	MemoryMB int
 	Progress func(done, of int) // called after each first try that was sent
--- a/internal/storm/daemon.go
+++ b/internal/storm/daemon.go
@@ -56,7 +56,7 @@
 
 // start starts a daemon and waits until it serves.
 func start(c Config) (d *daemon, err error) {
-	d = &daemon{exited: make(chan struct{})}
+	d = &daemon{}
 	defer func() {
 		if err != nil {
 			d.kill()
@@ -81,18 +81,38 @@
 	if err = d.configure(); err != nil {
 		return d, err
 	}
-	d.cmd = exec.Command(c.Daemon, c.Args...)
-	d.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+d.configPath(), "RELAY_NAME=", "RELAY_LISTEN=")
-	d.cmd.Stderr = d
-	if err = startOn(d.cmd, c.Pin); err != nil {
-		d.cmd = nil
-		return d, fmt.Errorf("storm: %w", err)
+	if err = d.launch(c); err != nil {
+		return d, err
+	}
+	return d, d.waitUp()
+}
+
+// launch starts the program.
+func (d *daemon) launch(c Config) error {
+	cmd, exited := exec.Command(c.Daemon, c.Args...), make(chan struct{})
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+d.configPath(), "RELAY_NAME=", "RELAY_LISTEN=")
+	cmd.Stderr = d
+	if err := startOn(cmd, c.Pin); err != nil {
+		return fmt.Errorf("storm: %w", err)
 	}
+	d.cmd, d.exited = cmd, exited
 	go func() {
-		d.cmd.Wait() // its status is read from the state
-		close(d.exited)
+		cmd.Wait() // its status is read from the state
+		close(exited)
 	}()
-	return d, d.waitUp()
+	return nil
+}
+
+// restart kills the daemon and starts it again, without what it left in a directory where there is one to forget.
+func (d *daemon) restart(c Config) error {
+	d.cmd.Process.Kill() // what else could end it ended it
+	<-d.exited
+	if c.Forget != "" {
+		if err := os.RemoveAll(c.Forget); err != nil {
+			return fmt.Errorf("storm: %w", err)
+		}
+	}
+	return d.launch(c)
 }
 
 // startOn starts a program on one core, or on any where it is negative.
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -48,6 +49,8 @@
 	Exit       int            `json:"exit"` // the daemon's status
 	Breaches   []string       `json:"breaches"`
 	Counters   map[string]any `json:"counters"` // the daemon's own, at its end
+	RestartAt  float64        `json:"restart_at_s,omitempty"`
+	Shares     []Share        `json:"shares,omitempty"` // over steps of time, where the daemon was restarted
 	Capture    map[string]any `json:"capture,omitempty"`
 	DaemonCPU  float64        `json:"daemon_cpu_s"`
 	DaemonPeak int64          `json:"daemon_peak_kb"`
@@ -80,6 +83,27 @@
 	latency *hdrhistogram.Histogram
 	served  int // requests
 	ended   bool
+
+	begun     time.Time
+	restarted chan error // nil until a restart
+}
+
+// Step is the time that each figure of Result.Shares is over.
+const Step = 250 * time.Millisecond
+
+// Share is how many requests were first meant to be sent in a step, and how many of them were served by any of their tries.
+type Share struct {
+	Requests int `json:"requests"`
+	Served   int `json:"served"`
+}
+
+// step is that of a time, with the lock held.
+func (s *storm) step(at time.Time) *Share {
+	n := max(int(at.Sub(s.begun)/Step), 0)
+	for len(s.result.Shares) <= n {
+		s.result.Shares = append(s.result.Shares, Share{})
+	}
+	return &s.result.Shares[n]
 }
 
 // tries is a heap by the time at which they are meant to be sent.
@@ -113,18 +137,21 @@
 	for range c.Gateways {
 		s.gateways = append(s.gateways, newGateway(s))
 	}
-	begun := time.Now()
+	s.begun = time.Now()
 	over := make(chan struct{})
 	defer close(over)
 	go watchPauses(s.observer.Excuse, over)
 	err = s.play(ctx)
+	if s.restarted != nil {
+		err = errors.Join(err, <-s.restarted)
+	}
 	if err == nil {
 		err = s.drain()
 	}
 	if err != nil {
 		return nil, err
 	}
-	return s.finish(begun)
+	return s.finish(s.begun)
 }
 
 // play sends all first tries, and what comes of them meanwhile.
@@ -133,13 +160,12 @@
 	if err != nil {
 		return fmt.Errorf("storm: %w", err)
 	}
-	begun := time.Now()
 	for n := range s.cfg.Requests {
 		at, more := arrivals.Next()
 		if !more {
 			return nil
 		}
-		next := begun.Add(at)
+		next := s.begun.Add(at)
 		s.mu.Lock()
 		t := s.first(n, next)
 		s.mu.Unlock()
@@ -166,6 +192,13 @@
 	if s.cfg.Reload && n == s.cfg.Requests/2 {
 		return s.daemon.reload()
 	}
+	if s.cfg.Restart && n == s.cfg.Requests/2 {
+		s.mu.Lock()
+		s.result.RestartAt = time.Since(s.begun).Seconds()
+		s.mu.Unlock()
+		s.restarted = make(chan error, 1)
+		go func() { s.restarted <- s.daemon.restart(s.cfg) }() // requests come meanwhile
+	}
 	return nil
 }
 
@@ -190,6 +223,9 @@
 // first makes the first try of a new request, with the lock held.
 func (s *storm) first(n int, at time.Time) *try {
 	r := &request{number: n, tenant: "central", first: at}
+	if s.cfg.Restart {
+		s.step(at).Requests++
+	}
 	if s.rng.Float64() < 0.3 {
 		r.tenant = "northern"
 	}
@@ -262,6 +298,9 @@
 		if !r.served {
 			r.served = true
 			s.served++
+			if s.cfg.Restart {
+				s.step(r.first).Served++
+			}
 			s.latency.RecordValue(min(max(now.Sub(r.first).Microseconds(), 1), longest.Microseconds()))
 		}
 		if r.key != "" && s.rng.Float64() < s.cfg.Repeat && !s.ended {
@@ -285,7 +324,10 @@
 }
 
 // lost takes in that the connection of a try ended.
-func (s *storm) lost(*try) {
+func (s *storm) lost(t *try) {
+	if s.cfg.Restart {
+		s.observer.Lost(t.id) // no answer can be owed by a daemon that was killed
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.Lost++
