Have the loop ask the system through an interface

What the loop asks of epoll, sockets and the clock is now an interface, with the kernel as the one implementation; the announce reporter goes through it, too.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tillerusher/internal/loop"
 	"tillerusher/internal/testkit"
 )
 
@@ -15,7 +16,7 @@
 		t.Fatal(err)
 	}
 	addr := service.LocalAddr().(*net.UDPAddr)
-	r, err := New(addr.AddrPort(), "n3")
+	r, err := New(loop.Kernel{}, addr.AddrPort(), "n3")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/interp/dial_test.go
+++ b/internal/interp/dial_test.go
@@ -11,7 +11,7 @@
 
 // TestRedial loses a link that stood: the next is dialled at once, since no run starts until then.
 func TestRedial(t *testing.T) {
-	l, err := loop.New(time.Millisecond, 1<<20)
+	l, err := loop.New(loop.Kernel{}, time.Millisecond, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -45,23 +45,14 @@
 	active     time.Time
 }
 
-// Sockaddr turns an address into the form of the system calls.
-func Sockaddr(a netip.AddrPort) (family int, sa unix.Sockaddr) {
-	if ip := a.Addr().Unmap(); ip.Is4() {
-		return unix.AF_INET, &unix.SockaddrInet4{Port: int(a.Port()), Addr: ip.As4()}
-	}
-	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}
-}
-
 // Dial starts a connection; its handler hears of the outcome in a later round.
 func (l *Loop) Dial(to netip.AddrPort, h ConnHandler) (*Conn, error) {
-	family, sa := Sockaddr(to)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Stream(to)
 	if err != nil {
 		return nil, fmt.Errorf("loop: dial %v: %w", to, err)
 	}
-	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
-		unix.Close(fd)
+	if err := l.system.Connect(fd, to); err != nil && err != unix.EINPROGRESS {
+		l.system.Close(fd)
 		return nil, fmt.Errorf("loop: dial %v: %w", to, err)
 	}
 	c, err := l.newConn(fd, unix.EPOLLIN|unix.EPOLLOUT, h)
@@ -73,14 +64,9 @@
 
 // newConn registers a connected or connecting socket, and closes it if that fails.
 func (l *Loop) newConn(fd int, events uint32, h ConnHandler) (*Conn, error) {
-	// Answers are small and written once a round: waiting to fill a segment would only delay them.
-	if err := unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1); err != nil {
-		unix.Close(fd)
-		return nil, fmt.Errorf("loop: connection: %w", err)
-	}
 	c := &Conn{loop: l, fd: fd, handler: h, events: events, active: l.now}
 	if err := l.add(fd, events, c); err != nil {
-		unix.Close(fd)
+		l.system.Close(fd)
 		return nil, err
 	}
 	return c, nil
@@ -92,11 +78,7 @@
 		if events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) == 0 {
 			return
 		}
-		code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
-		if err == nil && code != 0 {
-			err = unix.Errno(code)
-		}
-		c.err, c.answered = err, true
+		c.err, c.answered = c.loop.system.Connected(c.fd), true
 		return
 	}
 	switch {
@@ -119,7 +101,7 @@
 		l.full = true
 		return
 	}
-	n, err := unix.Read(c.fd, l.arena[start:start+readSize])
+	n, err := l.system.Read(c.fd, l.arena[start:start+readSize])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil:
@@ -136,7 +118,7 @@
 // take with it the answer that the peer has not read yet.
 func (c *Conn) discard() {
 	for range lingerReads {
-		n, err := unix.Read(c.fd, c.loop.waste[:])
+		n, err := c.loop.system.Read(c.fd, c.loop.waste[:])
 		switch {
 		case err == unix.EAGAIN || err == unix.EINTR:
 			return
@@ -200,7 +182,7 @@
 		return
 	}
 	if len(c.out) > 0 {
-		n, err := unix.Write(c.fd, c.out)
+		n, err := c.loop.system.Write(c.fd, c.out)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
 			c.fail(err)
 			return
@@ -246,7 +228,7 @@
 
 // startLinger ends this side of the connection and waits a while for the end of the other.
 func (c *Conn) startLinger() {
-	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
+	if err := c.loop.system.ShutdownWrite(c.fd); err != nil {
 		c.fail(err)
 		return
 	}
@@ -280,8 +262,7 @@
 	if c.closed || len(c.out) > 0 || c.loop.now.Sub(c.active) < idle {
 		return false
 	}
-	var one [1]byte
-	_, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK)
+	_, err := c.loop.system.Peek(c.fd, c.loop.one[:1])
 	return err == unix.EAGAIN
 }
 
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -1,7 +1,6 @@
 package loop
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -38,26 +37,20 @@
 
 // Listen accepts connections at the address.
 func (l *Loop) Listen(at netip.AddrPort, on Accepted) (*Listener, error) {
-	family, sa := Sockaddr(at)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Stream(at)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %v: %w", at, err)
 	}
-	// A restart must not wait for the connections of the life before.
-	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err == nil {
-		err = unix.Bind(fd, sa)
-	}
-	if err == nil {
-		err = unix.Listen(fd, backlog)
+	if err = l.system.Bind(fd, at); err == nil {
+		err = l.system.Listen(fd, backlog)
 	}
 	if err != nil {
-		unix.Close(fd)
+		l.system.Close(fd)
 		return nil, fmt.Errorf("listen at %v: %w", at, err)
 	}
-	ln := &Listener{loop: l, fd: fd, on: on, spare: openSpare()}
+	ln := &Listener{loop: l, fd: fd, on: on, spare: openSpare(l.system)}
 	if err := l.add(fd, unix.EPOLLIN, ln); err != nil {
-		unix.Close(fd)
+		l.system.Close(fd)
 		return nil, err
 	}
 	return ln, nil
@@ -65,22 +58,16 @@
 
 // Addr is the address that is listened at.
 func (ln *Listener) Addr() (netip.AddrPort, error) {
-	sa, err := unix.Getsockname(ln.fd)
+	at, err := ln.loop.system.Address(ln.fd)
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("listener: %w", err)
 	}
-	switch a := sa.(type) {
-	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)), nil
-	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)), nil
-	}
-	return netip.AddrPort{}, errors.New("listener: no IP address")
+	return at, nil
 }
 
 // openSpare holds a descriptor back.
-func openSpare() int {
-	fd, err := unix.Eventfd(0, unix.EFD_CLOEXEC)
+func openSpare(system System) int {
+	fd, err := system.Eventfd()
 	if err != nil {
 		return -1
 	}
@@ -93,7 +80,7 @@
 // accept takes connections until none waits.
 func (ln *Listener) accept() {
 	for range acceptMost {
-		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := ln.loop.system.Accept(ln.fd)
 		switch {
 		case err == nil:
 			ln.fds = append(ln.fds, fd)
@@ -119,12 +106,12 @@
 	if ln.spare < 0 {
 		return false
 	}
-	unix.Close(ln.spare)
-	fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	ln.loop.system.Close(ln.spare)
+	fd, err := ln.loop.system.Accept(ln.fd)
 	if err == nil {
-		unix.Close(fd)
+		ln.loop.system.Close(fd)
 	}
-	ln.spare = openSpare()
+	ln.spare = openSpare(ln.loop.system)
 	return ln.spare >= 0
 }
 
@@ -139,7 +126,7 @@
 		ln.resting = false
 		if !ln.closed {
 			if ln.spare < 0 {
-				ln.spare = openSpare()
+				ln.spare = openSpare(ln.loop.system)
 			}
 			ln.loop.watch(ln.fd, unix.EPOLLIN)
 		}
@@ -174,7 +161,7 @@
 	ln.closed = true
 	ln.loop.drop(ln.fd)
 	if ln.spare >= 0 {
-		unix.Close(ln.spare)
+		ln.loop.system.Close(ln.spare)
 	}
 	ln.report()
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -37,6 +37,7 @@
 
 // Loop owns all that is registered with it. Its methods belong to the goroutine in Run, but for Post.
 type Loop struct {
+	system      System
 	epoll, wake int
 	sources     map[int]source
 	ready       []source
@@ -44,6 +45,7 @@
 	full        bool   // the arena had no room for all of it
 	turn        int    // where the next round begins to read
 	waste       [readSize]byte
+	one         [8]byte  // of the wakeups, and of looks into sockets
 	spare       [][]byte // empty output buffers
 	untaken     int      // bytes that peers have not taken
 	most        int      // untaken bytes over which peers that hold many of them are cut off
@@ -58,20 +60,20 @@
 	closed bool
 }
 
-// New returns a loop whose timers fire on the tick, and which keeps about so many bytes at most for peers that
+// New returns a loop on a system whose timers fire on the tick, and which keeps about so many bytes at most for peers that
 // do not read.
-func New(tick time.Duration, untaken int) (*Loop, error) {
-	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+func New(system System, tick time.Duration, untaken int) (*Loop, error) {
+	epoll, err := system.EpollCreate()
 	if err != nil {
 		return nil, fmt.Errorf("loop: epoll: %w", err)
 	}
-	wake, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	wake, err := system.Eventfd()
 	if err != nil {
-		unix.Close(epoll)
+		system.Close(epoll)
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
-	now := time.Now()
-	l := &Loop{epoll: epoll, wake: wake, sources: map[int]source{}, now: now, wheel: newWheel(tick, now),
+	now := system.Now()
+	l := &Loop{system: system, epoll: epoll, wake: wake, sources: map[int]source{}, now: now, wheel: newWheel(tick, now),
 		arena: make([]byte, 0, arenaSize), most: untaken}
 	if err := l.add(wake, unix.EPOLLIN, wakeup{l}); err != nil {
 		l.Close()
@@ -86,11 +88,14 @@
 	defer l.mu.Unlock()
 	if !l.closed {
 		l.closed = true
-		unix.Close(l.epoll)
-		unix.Close(l.wake)
+		l.system.Close(l.epoll)
+		l.system.Close(l.wake)
 	}
 }
 
+// System is what the loop runs on.
+func (l *Loop) System() System { return l.system }
+
 // Now is the clock reading of this round.
 func (l *Loop) Now() time.Time { return l.now }
 
@@ -113,7 +118,7 @@
 		return // the descriptor's number may be another's by now
 	}
 	l.posted = append(l.posted, fn)
-	unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0}) // fails only when a wakeup is pending already
+	l.system.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0}) // fails only when a wakeup is pending already
 }
 
 // Run goes on until Stop. After the events of a round it calls settle, which tells whether it left events of
@@ -124,9 +129,9 @@
 	for !l.stopped {
 		wait := 0
 		if !again && len(l.failed) == 0 {
-			wait = int((l.wheel.wait(time.Now()) + time.Millisecond - 1) / time.Millisecond)
+			wait = int((l.wheel.wait(l.system.Now()) + time.Millisecond - 1) / time.Millisecond)
 		}
-		n, err := unix.EpollWait(l.epoll, events, wait)
+		n, err := l.system.EpollWait(l.epoll, events, wait)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("loop: epoll wait: %w", err)
 		}
@@ -145,7 +150,7 @@
 			l.full = false
 			l.turn += arenaSize / readSize
 		}
-		l.now = time.Now()
+		l.now = l.system.Now()
 		for _, s := range l.ready {
 			s.report()
 		}
@@ -184,8 +189,7 @@
 
 // add registers a descriptor.
 func (l *Loop) add(fd int, events uint32, s source) error {
-	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+	if err := l.system.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, events); err != nil {
 		return fmt.Errorf("loop: register: %w", err)
 	}
 	l.sources[fd] = s
@@ -194,9 +198,8 @@
 
 // watch changes what a descriptor is registered for.
 func (l *Loop) watch(fd int, events uint32) {
-	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
 	// It fails only for a descriptor that is not registered, which would be an error of this package.
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &e); err != nil {
+	if err := l.system.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, events); err != nil {
 		panic(fmt.Sprintf("loop: watch: %v", err))
 	}
 }
@@ -204,15 +207,14 @@
 // drop closes a registered descriptor.
 func (l *Loop) drop(fd int) {
 	delete(l.sources, fd)
-	unix.Close(fd)
+	l.system.Close(fd)
 }
 
 // wakeup stands behind the descriptor that Post writes to.
 type wakeup struct{ l *Loop }
 
 func (w wakeup) gather(uint32) {
-	var count [8]byte
-	unix.Read(w.l.wake, count[:])
+	w.l.system.Read(w.l.wake, w.l.one[:])
 }
 
 func (w wakeup) report() {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -30,7 +30,7 @@
 // serve runs a loop that listens, and ends it with the test.
 func serve(t *testing.T, h ConnHandler, settle func()) (*Loop, string) {
 	t.Helper()
-	l, err := New(testTick, 1<<20)
+	l, err := New(Kernel{}, testTick, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/server/guard_test.go
+++ b/server/guard_test.go
@@ -25,7 +25,7 @@
 // guarded is a server without sockets that has taken in keyed tries of one request.
 func guarded(t *testing.T, tries int) (actions, *quiet) {
 	t.Helper()
-	l, err := loop.New(5*time.Millisecond, 1<<20)
+	l, err := loop.New(loop.Kernel{}, 5*time.Millisecond, 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/server/reload.go
+++ b/server/reload.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if cfg.Announce != s.cfg.Announce {
-		reporter, err := announce.New(cfg.Announce, s.cfg.Name)
+		reporter, err := announce.New(s.loop.System(), cfg.Announce, s.cfg.Name)
 		if err != nil {
 			s.log.Error("configuration not reloaded", zap.NamedError("announce", err))
 			return
--- a/server/routed.go
+++ b/server/routed.go
@@ -20,6 +20,7 @@
 	"tillerusher/internal/forward"
 	"tillerusher/internal/front"
 	"tillerusher/internal/interp"
+	"tillerusher/internal/loop"
 	"tillerusher/internal/pool"
 	"tillerusher/internal/route"
 	"tillerusher/internal/routing"
@@ -80,7 +81,7 @@
 		base.Capture = cfg.Operator.Capture
 	}
 	base.Limits.Cores, base.Limits.MemoryMB, base.Limits.Sockets = 1, cfg.MemoryMB, cfg.Sockets
-	s, err := open(base, log, fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: routeBody,
+	s, err := open(loop.Kernel{}, base, log, fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: routeBody,
 		Memory: cfg.MemoryMB << 20 / requestPart, Raw: true})
 	if err != nil {
 		return nil, err
--- a/server/server.go
+++ b/server/server.go
@@ -90,8 +90,11 @@
 }
 
 // New returns a server that listens at its address. Run has to be called next, or Close.
-func New(cfg *Config, log *zap.Logger) (*Server, error) {
-	s, err := open(cfg, log, fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: maxBody,
+func New(cfg *Config, log *zap.Logger) (*Server, error) { return NewOn(loop.Kernel{}, cfg, log) }
+
+// NewOn is New on a system that need not be the machine's.
+func NewOn(system loop.System, cfg *Config, log *zap.Logger) (*Server, error) {
+	s, err := open(system, cfg, log, fastcgi.Limits{Requests: maxOpen, Params: maxParams, Body: maxBody,
 		Memory: cfg.Limits.MemoryMB << 20 / requestPart})
 	if err != nil {
 		return nil, err
@@ -102,12 +105,12 @@
 }
 
 // open returns a server that listens, without the worker and the intake that it needs.
-func open(cfg *Config, log *zap.Logger, limits fastcgi.Limits) (*Server, error) {
+func open(system loop.System, cfg *Config, log *zap.Logger, limits fastcgi.Limits) (*Server, error) {
 	if err := servable(cfg); err != nil {
 		return nil, err
 	}
 	told := cfg.Settings
-	l, err := loop.New(min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond), cfg.Limits.MemoryMB<<20/outputPart)
+	l, err := loop.New(system, min(max(told.Module.Tick, time.Millisecond), 10*time.Millisecond), cfg.Limits.MemoryMB<<20/outputPart)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +123,7 @@
 	}
 	s.seen = newSeenIDs(max(2*s.patience, seenLeast), cfg.Limits.MemoryMB<<20/seenPart/seenSize)
 	if cfg.Announce.IsValid() {
-		if s.reporter, err = announce.New(cfg.Announce, cfg.Name); err != nil {
+		if s.reporter, err = announce.New(system, cfg.Announce, cfg.Name); err != nil {
 			l.Close()
 			return nil, err
 		}
