Play whole fleets of the real server on a simulated system, from one seed

The stand-in of the interpreter lives on any clock now, and a request's fields are written in one order.

--- /dev/null
+++ b/internal/rehearsal/gateway.go
@@ -0,0 +1,250 @@
+package rehearsal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"tillerusher/internal/rules"
+	"tillerusher/internal/simos"
+	"tillerusher/internal/standin"
+)
+
+const (
+	maxOpen = 32 // requests on one connection
+	// answerSlack is how long after its deadline an answer may come: it crosses the network, and timers are coarse.
+	answerSlack = 100 * time.Millisecond
+	redial      = 100 * time.Millisecond
+)
+
+// request is what a caller wants.
+type request struct {
+	number int
+	key    string // of a keyed one
+	tenant string
+	body   []byte
+	came   time.Duration
+	tries  int
+	served bool
+	over   bool // its last try is answered, lost or not made
+}
+
+// try is one try of a request.
+type try struct {
+	id      string
+	request *request
+	from    *gateway
+	at      *node
+}
+
+// gateway sends requests of callers to all servers, over one connection to each.
+type gateway struct {
+	run   *run
+	rng   *rand.Rand
+	at    netip.Addr
+	heeds bool
+	conns []*conn // by server
+}
+
+// conn is a gateway's connection to a server, which is made anew where it ends.
+type conn struct {
+	gateway *gateway
+	node    *node
+	stream  *simos.Stream
+	up      bool
+	slow    bool // it reads so slowly that an answer's time says nothing of the server
+	reader  standin.Reader
+	open    map[uint16]*try
+	free    []uint16
+}
+
+func newGateway(r *run, number int, heeds bool, rng *rand.Rand) *gateway {
+	g := &gateway{run: r, rng: rng, heeds: heeds, at: netip.AddrFrom4([4]byte{10, 3, byte(number >> 8), byte(number)})}
+	for _, n := range r.nodes {
+		c := &conn{gateway: g, node: n}
+		g.conns = append(g.conns, c)
+		c.dial()
+	}
+	return g
+}
+
+// dial makes the connection.
+func (c *conn) dial() {
+	c.reader, c.open, c.free, c.slow = standin.Reader{}, map[uint16]*try{}, nil, false
+	for id := uint16(maxOpen); id > 0; id-- {
+		c.free = append(c.free, id)
+	}
+	c.stream = c.gateway.run.world.Dial(c.gateway.at, c.node.addr(), c)
+}
+
+// Connected implements simos.Actor.
+func (c *conn) Connected() { c.up = true }
+
+// Closed implements simos.Actor.
+func (c *conn) Closed(error) {
+	c.up = false
+	for id := range uint16(maxOpen) {
+		if t := c.open[id+1]; t != nil {
+			c.gateway.lost(t)
+		}
+	}
+	c.open = map[uint16]*try{}
+	if !c.gateway.run.over {
+		c.gateway.run.world.After(redial, c.dial)
+	}
+}
+
+// Data implements simos.Actor.
+func (c *conn) Data(p []byte) {
+	answers, err := c.reader.Feed(p)
+	if err != nil {
+		c.gateway.run.breach("%s sent what is no record: %v", c.node.name(), err)
+		c.stream.Reset()
+		c.Closed(err)
+		return
+	}
+	for _, a := range answers {
+		t := c.open[a.ID]
+		if t == nil {
+			c.gateway.run.breach("%s answered request %d, which is not open", c.node.name(), a.ID)
+			continue
+		}
+		delete(c.open, a.ID)
+		c.free = append(c.free, a.ID)
+		at := c.gateway.run.world.Now()
+		if c.slow {
+			at = begin
+		}
+		c.gateway.answered(t, a, at)
+	}
+}
+
+// trickle has the connection read a byte a second from now on, and its open requests given up by their callers.
+func (c *conn) trickle() {
+	c.slow = true
+	for id := range uint16(maxOpen) {
+		if t := c.open[id+1]; t != nil {
+			c.gateway.run.observer.Lost(t.id)
+		}
+	}
+	c.stream.Trickle(1, time.Second)
+}
+
+// choose is the server for a request: one for all tries of a keyed one, and else any that says it accepts.
+func (g *gateway) choose(r *request) *conn {
+	if r.key != "" {
+		sum := 0
+		for _, b := range []byte(r.key) {
+			sum = sum*31 + int(b)
+		}
+		return g.conns[(sum&0x7fffffff)%len(g.conns)]
+	}
+	first := g.rng.IntN(len(g.conns))
+	for i := range g.conns {
+		c := g.conns[(first+i)%len(g.conns)]
+		if c.up && !c.slow && len(c.free) > 0 && g.run.accepting[c.node.name()] {
+			return c
+		}
+	}
+	return g.conns[first]
+}
+
+// send makes one try of a request.
+func (g *gateway) send(r *request) {
+	w := g.run.world
+	r.tries++
+	c := g.choose(r)
+	if !c.up || c.slow || len(c.free) == 0 {
+		g.run.report.Unsent++
+		g.again(r, g.run.scenario.Pause)
+		return
+	}
+	g.run.tries++
+	t := &try{id: fmt.Sprintf("%016x", g.run.tries), request: r, from: g, at: c.node}
+	id := c.free[len(c.free)-1]
+	c.free = c.free[:len(c.free)-1]
+	c.open[id] = t
+	limit := standin.LookupDeadline
+	q := standin.Request{Method: "POST", Path: "/v1/part-lookup", Body: r.body, Fields: map[string]string{"Request-Id": t.id,
+		"Received-At": strconv.FormatInt(w.Now().UnixMilli(), 10), "Sent-By": "1", "Account": r.tenant, "Work-Estimate": "12.50", "Footprint-Kb": "24.5",
+		"Priority-Rank": "0.6250"}}
+	if r.key != "" {
+		q.Path, q.Fields["Once-Key"], limit = "/v1/stock-reserve", r.key, standin.ReserveDeadline
+	}
+	if r.tries > 1 {
+		q.Fields["Attempt-Again"] = "1"
+	}
+	told := rules.Try{ID: t.id, Once: r.key != "", Result: string(standin.Result(r.body)), Received: w.Now(), Due: w.Now().Add(limit + answerSlack)}
+	if r.key != "" {
+		told.Key = fmt.Sprintf("%s at %s, life %d", r.key, c.node.name(), c.node.life)
+	}
+	g.run.observer.Sent(told)
+	g.run.open[t.id] = t
+	g.run.report.Tries++
+	c.stream.Write(q.Records(id))
+}
+
+// answered takes in an answer, and decides whether a further try follows.
+func (g *gateway) answered(t *try, a standin.Answer, at time.Time) {
+	r := t.request
+	kind := rules.Failed
+	switch {
+	case a.Status == 200:
+		kind = rules.Served
+	case a.Status == 429 || a.Status == 503 || a.Protocol != 0:
+		kind = rules.Refused
+	}
+	g.run.observer.Answered(t.id, kind, string(a.Body), at)
+	delete(g.run.open, t.id)
+	switch kind {
+	case rules.Served:
+		g.run.report.Served++
+		g.run.served(r)
+	case rules.Refused:
+		g.run.report.Refused++
+		if a.Header.Get("Final-Refusal") != "" {
+			r.over = true
+			return
+		}
+		wait := g.run.scenario.Pause
+		if ms, err := strconv.Atoi(strings.TrimSpace(a.Header.Get("Back-Off-Ms"))); err == nil && g.heeds {
+			wait = time.Duration(float64(ms)*(1+g.rng.Float64())) * time.Millisecond
+		}
+		g.again(r, wait)
+	default:
+		g.run.report.Failed++
+		if r.key == "" {
+			g.again(r, g.run.scenario.Pause)
+		} else {
+			r.over = true // whether it ran is not known, and the caller is told so
+		}
+	}
+}
+
+// lost takes in that the connection of a try ended.
+func (g *gateway) lost(t *try) {
+	g.run.observer.Lost(t.id)
+	delete(g.run.open, t.id)
+	g.run.report.Lost++
+	g.again(t.request, g.run.scenario.Pause)
+}
+
+// again makes a further try after a while, where the caller still waits.
+func (g *gateway) again(r *request, wait time.Duration) {
+	limit := standin.LookupDeadline
+	if r.key != "" {
+		limit = standin.ReserveDeadline
+	}
+	if r.tries >= g.run.scenario.Tries || g.run.world.Elapsed()+wait-r.came > limit || g.run.over {
+		r.over = true
+		return
+	}
+	g.run.world.After(wait, func() {
+		if !g.run.over {
+			g.send(r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/simos/world.go
@@ -0,0 +1,129 @@
+// Package simos is an operating system and a network that are simulated: processes with descriptors and epoll, streams,
+// datagrams and a clock, all in one thread and in virtual time, from one seed. A process is what loop.System asks for, so
+// the real server runs on it, loop and all; the parties round it are actors, which are called when something comes.
+//
+// What a call does follows the manual pages of epoll(7), tcp(7), connect(2), accept(2), read(2), write(2) and shutdown(2).
+package simos
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Net is how the network does. Parts are of 1.
+type Net struct {
+	Delay   time.Duration // least time that a segment takes
+	Jitter  time.Duration // and up to so much more
+	Partial float64       // of reads and writes that take a part of what they could
+	Lost    float64       // of datagrams
+	Doubled float64       // of datagrams
+}
+
+// Counts count what happened, faults by their kind.
+type Counts struct {
+	Events, Rounds, Segments, Connections   uint64
+	PartialReads, PartialWrites             uint64
+	Refused, Resets, OutOfFiles             uint64
+	DatagramsLost, DatagramsDoubled, Pauses uint64
+	Kills, PartitionsHeld                   uint64
+}
+
+// event is something that happens at a time; of two at one time the one that was planned first goes first.
+type event struct {
+	at   time.Duration
+	seq  uint64
+	fire func() // nil once it is cancelled
+}
+
+type events []*event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(*event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
+
+// World is all there is. Nothing of it may be used by two goroutines at once.
+type World struct {
+	Net   Net
+	Count Counts
+
+	origin time.Time
+	now    time.Duration
+	seq    uint64
+	queue  events
+	rng    *rand.Rand
+	bound  map[netip.AddrPort]*socket // listening
+	heard  map[netip.AddrPort]func(p []byte)
+	cut    map[[2]netip.Addr]bool // pairs of machines between which nothing passes
+	ports  uint16
+}
+
+// New returns an empty world whose clock shows a time.
+func New(seed uint64, origin time.Time) *World {
+	return &World{origin: origin.Round(0), rng: rand.New(rand.NewPCG(seed, 0x5eed)), bound: map[netip.AddrPort]*socket{},
+		heard: map[netip.AddrPort]func([]byte){}, cut: map[[2]netip.Addr]bool{}, Net: Net{Delay: 50 * time.Microsecond, Jitter: 150 * time.Microsecond}}
+}
+
+// Now is the time that true clocks show.
+func (w *World) Now() time.Time { return w.origin.Add(w.now) }
+
+// Elapsed is the time since the world began.
+func (w *World) Elapsed() time.Duration { return w.now }
+
+// After has something happen after a while, unless it is cancelled before.
+func (w *World) After(wait time.Duration, fire func()) (cancel func()) {
+	w.seq++
+	e := &event{at: w.now + max(wait, 0), seq: w.seq, fire: fire}
+	heap.Push(&w.queue, e)
+	return func() { e.fire = nil }
+}
+
+// Run has all happen that does until a time since the beginning, and calls check after each event until that tells to stop.
+func (w *World) Run(until time.Duration, check func() (goOn bool)) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(*event)
+		if e.fire == nil {
+			continue
+		}
+		w.now = e.at
+		w.Count.Events++
+		e.fire()
+		if check != nil && !check() {
+			return
+		}
+	}
+	w.now = max(w.now, until)
+}
+
+// delay is what one segment takes.
+func (w *World) delay() time.Duration {
+	return w.Net.Delay + time.Duration(w.rng.Int64N(int64(w.Net.Jitter)+1))
+}
+
+// part is n, or a part of it where the network does so now.
+func (w *World) part(n int, count *uint64) int {
+	if n > 1 && w.Net.Partial > 0 && w.rng.Float64() < w.Net.Partial {
+		*count++
+		return 1 + w.rng.IntN(n-1)
+	}
+	return n
+}
+
+// Cut has nothing pass between two machines, or pass again. Streams hold on to what was sent; datagrams are lost.
+func (w *World) Cut(a, b netip.Addr, cut bool) {
+	w.cut[[2]netip.Addr{a, b}], w.cut[[2]netip.Addr{b, a}] = cut, cut
+}
+
+// passes tells whether anything passes between two machines.
+func (w *World) passes(a, b netip.Addr) bool { return !w.cut[[2]netip.Addr{a, b}] }
--- a/internal/standin/fastcgi.go
+++ b/internal/standin/fastcgi.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"net/textproto"
 	"slices"
 	"strconv"
@@ -69,8 +70,8 @@
 	b := Pair("REQUEST_METHOD", r.Method, false)
 	b = append(b, Pair("SCRIPT_NAME", r.Path, true)...)
 	b = append(b, Pair("QUERY_STRING", r.Query, false)...)
-	for name, value := range r.Fields {
-		b = append(b, Pair("HTTP_"+strings.ReplaceAll(strings.ToUpper(name), "-", "_"), value, false)...)
+	for _, name := range slices.Sorted(maps.Keys(r.Fields)) { // the same request is the same bytes
+		b = append(b, Pair("HTTP_"+strings.ReplaceAll(strings.ToUpper(name), "-", "_"), r.Fields[name], false)...)
 	}
 	return b
 }
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -1,8 +1,9 @@
 package standin
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -29,6 +30,7 @@
 
 // Interpreter stands in for the interpreter: it holds runs until it is told to end them, or ends each at once.
 type Interpreter struct {
+	clock     Clock
 	listener  net.Listener
 	listeners []net.Listener // all there were
 
@@ -37,7 +39,7 @@
 	mute    bool      // SMOKE and TOP are not answered
 	prompt  bool      // runs end at once
 	busy    float64   // the first gauge
-	link    net.Conn  // the newest
+	link    *Link     // the newest
 	rank    rank      // of link
 	seen    uint64    // of the newest CONNECT
 	waiting bool      // a CONNECT waits for BANNER
@@ -51,6 +53,8 @@
 	over    map[string]bool   // ids of runs that have ended
 	links   int
 	heard   func(Apply)
+
+	attached int
 }
 
 // rank orders links by the address and the time at which they were accepted. A link replaces those of lower rank, and
@@ -63,10 +67,50 @@
 
 // NewInterpreter starts an interpreter that is up and ends runs only when told.
 func NewInterpreter() (*Interpreter, error) {
-	it := &Interpreter{up: true, bodies: map[string][]byte{}, over: map[string]bool{}}
+	it := NewQuietInterpreter(wallClock{})
 	return it, it.listen()
 }
 
+// NewQuietInterpreter is an interpreter on a clock that links come to by Attach, not by sockets of its own.
+func NewQuietInterpreter(c Clock) *Interpreter {
+	return &Interpreter{clock: c, up: true, bodies: map[string][]byte{}, over: map[string]bool{}}
+}
+
+// Link is one connection of a server to an interpreter. What is read on it is handed to Feed, in order.
+type Link struct {
+	it   *Interpreter
+	to   io.WriteCloser
+	rank rank
+	at   string // the address that it came to
+	line []byte
+}
+
+// Attach takes a link that came after all others.
+func (it *Interpreter) Attach(to io.WriteCloser) *Link {
+	l := &Link{it: it, to: to}
+	it.set(func() {
+		it.attached++
+		l.rank = rank{accepted: it.attached}
+	})
+	return l
+}
+
+// Feed takes in bytes, and tells whether the link is to go on.
+func (l *Link) Feed(p []byte) bool {
+	l.line = append(l.line, p...)
+	for {
+		line, rest, whole := bytes.Cut(l.line, []byte{'\n'})
+		if !whole {
+			return true
+		}
+		var m message
+		if json.Unmarshal(line, &m) != nil || !l.it.take(l, m) {
+			return false
+		}
+		l.line = append(l.line[:0], rest...)
+	}
+}
+
 // listen accepts links at a new address.
 func (it *Interpreter) listen() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -86,7 +130,7 @@
 				return
 			}
 			of.accepted++
-			go it.serve(c, of)
+			go it.serve(&Link{it: it, to: c, rank: of, at: c.LocalAddr().String()}, c)
 		}
 	}()
 	return nil
@@ -99,7 +143,7 @@
 			l.Close()
 		}
 		if it.labour != nil {
-			close(it.labour.stop)
+			it.labour.stop()
 			it.labour = nil
 		}
 	})
@@ -119,7 +163,7 @@
 	if it.link == nil {
 		return ""
 	}
-	return it.link.LocalAddr().String()
+	return it.link.at
 }
 
 // Addr is where links are accepted.
@@ -173,7 +217,7 @@
 func (it *Interpreter) Cut() {
 	it.set(func() {
 		if it.link != nil {
-			it.link.Close()
+			it.link.to.Close()
 			it.link = nil
 		}
 	})
@@ -195,33 +239,30 @@
 }
 
 // serve reads one link.
-func (it *Interpreter) serve(c net.Conn, r rank) {
-	defer c.Close()
-	lines := bufio.NewScanner(c)
-	for lines.Scan() {
-		var m message
-		if json.Unmarshal(lines.Bytes(), &m) != nil {
-			return
-		}
-		if !it.take(c, r, m) {
+func (it *Interpreter) serve(l *Link, from net.Conn) {
+	defer from.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if !l.Feed(buf[:n]) || err != nil {
 			return
 		}
 	}
 }
 
 // take carries out one command, unless its link was replaced or cut.
-func (it *Interpreter) take(c net.Conn, r rank, m message) bool {
+func (it *Interpreter) take(l *Link, m message) bool {
 	it.mu.Lock()
 	defer it.mu.Unlock()
-	if it.refuse || r.under(it.rank) || m.Op != "CONNECT" && it.link != c {
+	if it.refuse || l.rank.under(it.rank) || m.Op != "CONNECT" && it.link != l {
 		return false
 	}
 	switch m.Op {
 	case "CONNECT":
-		if it.link != nil && it.link != c {
-			it.link.Close()
+		if it.link != nil && it.link != l {
+			it.link.to.Close()
 		}
-		it.link, it.rank, it.seen, it.waiting = c, r, m.Seq, true
+		it.link, it.rank, it.seen, it.waiting = l, l.rank, m.Seq, true
 		it.links++
 		it.greet()
 	case "APPLY":
@@ -317,5 +358,5 @@
 	if err != nil {
 		return // a message of texts and numbers can always be written
 	}
-	it.link.Write(append(text, '\n'))
+	it.link.to.Write(append(text, '\n'))
 }
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -21,31 +21,43 @@
 	took  func(Apply) time.Duration
 	left  map[string]time.Duration // of a core's time, by run
 	last  time.Time                // up to which time was spent
-	stop  chan struct{}
+	stop  func()                   // ends the looks
+}
+
+// Clock is the time that a stand-in lives in.
+type Clock interface {
+	Now() time.Time
+	// After has something called after a while, unless it is cancelled before.
+	After(wait time.Duration, fire func()) (cancel func())
+}
+
+// wallClock is the machine's.
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+func (wallClock) After(wait time.Duration, fire func()) (cancel func()) {
+	t := time.AfterFunc(wait, fire)
+	return func() { t.Stop() }
 }
 
 // Work has runs take as much time of a core as took says, shared with all others that run, and end with the body
 // of their request behind "done ". It looks when the next of them is due, so that no core's time is lost between two looks.
 func (it *Interpreter) Work(cores int, took func(Apply) time.Duration) {
-	l := &labour{cores: cores, took: took, left: map[string]time.Duration{}, last: time.Now(), stop: make(chan struct{})}
-	it.set(func() { it.labour = l })
-	go func() {
-		timer := time.NewTimer(pace)
-		defer timer.Stop()
-		for {
-			select {
-			case <-l.stop:
-				return
-			case <-timer.C:
-				wait := pace
-				it.set(func() {
-					it.labourOn(l)
-					wait = it.nextEnd(l)
-				})
-				timer.Reset(wait)
+	l := &labour{cores: cores, took: took, left: map[string]time.Duration{}, last: it.clock.Now()}
+	var look func()
+	look = func() {
+		it.set(func() {
+			if it.labour == l {
+				it.labourOn(l)
+				l.stop = it.clock.After(it.nextEnd(l), look)
 			}
-		}
-	}()
+		})
+	}
+	it.set(func() {
+		it.labour = l
+		l.stop = it.clock.After(pace, look)
+	})
 }
 
 // nextEnd is how long the next look may wait.
@@ -61,7 +73,7 @@
 func (it *Interpreter) Instant() {
 	it.set(func() {
 		if it.labour != nil {
-			close(it.labour.stop)
+			it.labour.stop()
 			it.labour = nil
 		}
 		it.prompt, it.busy = true, 0
@@ -70,7 +82,7 @@
 
 // labourOn spends the time since the last look.
 func (it *Interpreter) labourOn(l *labour) {
-	now := time.Now()
+	now := it.clock.Now()
 	since := now.Sub(l.last)
 	l.last = now
 	n := len(it.running)
