--- a/cmd/tillerkit/main.go
+++ b/cmd/tillerkit/main.go
@@ -39,7 +39,7 @@
 		Long:         "tillerkit looks into what a catalogue server recorded, replays it, and lets storms loose on one.\n" + statuses,
 		SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().Bool("json", false, "print JSON, one object a line where there are many")
-	root.AddCommand(captureCommand(), replayCommand(), explainCommand(), configCommand(), importCommand(), poolCommand(), stormCommand(), modelCommand(), stateCommand())
+	root.AddCommand(captureCommand(), replayCommand(), explainCommand(), configCommand(), importCommand(), poolCommand(), stormCommand(), modelCommand(), stateCommand(), rehearseCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- /dev/null
+++ b/cmd/tillerkit/rehearse.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tillerusher/internal/rehearsal"
+)
+
+func rehearseCommand() *cobra.Command {
+	c := &cobra.Command{Use: "rehearse", Short: "Play bad days through the real server on a simulated system",
+		Long: "rehearse plays a day through the real server, its loop and its sessions included, on an operating system and a network\n" +
+			"that are simulated, in virtual time. The same seed gives the same report." + statuses}
+	c.AddCommand(rehearseListCommand(), rehearseRunCommand(), rehearseHuntCommand(), rehearseReplayCommand(), rehearseShrinkCommand())
+	return c
+}
+
+func rehearseListCommand() *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "Name the scenarios that ship with the kit", Args: cobra.NoArgs, Long: "list names each scenario and what it teaches." + statuses,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := newPrinter(cmd)
+			list, err := rehearsal.Library()
+			if err != nil {
+				return err
+			}
+			for _, s := range list {
+				p.line("%-20s %s", s.Name, s.Teaches)
+				if err := p.object(map[string]string{"name": s.Name, "teaches": s.Teaches}); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+}
+
+// printDay prints a day's report.
+func printDay(p printer, r *rehearsal.Report) {
+	p.line("%s, seed %d: %d requests in %d tries; share served %.3f, p50 %.1f ms, p99 %.1f ms", r.Scenario, r.Seed, r.Requests, r.Tries, r.Share, r.P50, r.P99)
+	p.line("tries: served %d, refused %d, failed %d, lost with their connection %d, not sent %d, unanswered %d; %d runs", r.Served, r.Refused, r.Failed,
+		r.Lost, r.Unsent, r.Unanswered, r.Runs)
+	var b strings.Builder
+	for _, s := range r.Seconds {
+		part := float64(s.Served) / float64(max(s.Requests, 1))
+		b.WriteRune([]rune(" .:-=+*#%@")[min(int(part*10), 9)])
+	}
+	p.line("share by second, blank is under 0.1 and @ from 0.9: |%s|", b.String())
+	for _, breach := range r.Breaches {
+		p.line("broken rule: %s", breach)
+	}
+	if n := r.BreachesN - len(r.Breaches); n > 0 {
+		p.line("and %d more", n)
+	}
+	for _, m := range r.Missed {
+		p.line("not as expected: %s", m)
+	}
+}
+
+func rehearseRunCommand() *cobra.Command {
+	seed := uint64(1)
+	cmd := &cobra.Command{Use: "run NAME", Short: "Play a scenario", Args: cobra.ExactArgs(1),
+		Long:    "run plays a scenario of the library, or of a file that ends in .sexp. Exit status 1 where a rule is broken or what was\nexpected does not hold." + statuses,
+		Example: "  tillerkit rehearse run rolling-deploy --seed 7",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := rehearsal.Find(args[0])
+			if err != nil {
+				return inputError{err}
+			}
+			return playDay(newPrinter(cmd), s, seed, fmt.Sprintf("tillerkit rehearse run %s --seed %d", args[0], seed))
+		}}
+	cmd.Flags().Uint64Var(&seed, "seed", seed, "seed of all that is drawn")
+	return cmd
+}
+
+// playDay plays a day, prints it, and says how to play it again where something is wrong.
+func playDay(p printer, s *rehearsal.Scenario, seed uint64, again string) error {
+	r, err := rehearsal.Run(s, seed)
+	if err != nil {
+		return err
+	}
+	printDay(p, r)
+	bad := r.BreachesN > 0 || r.Unanswered > 0 || len(r.Missed) > 0
+	if bad {
+		p.line("again: %s", again)
+	}
+	if err := p.object(r); err != nil {
+		return err
+	}
+	return found(bad)
+}
+
+func rehearseHuntCommand() *cobra.Command {
+	first, seeds, most, parallel, length := uint64(1), 1_000_000_000, 5, runtime.GOMAXPROCS(0), time.Minute
+	cmd := &cobra.Command{Use: "hunt", Short: "Play days that seeds draw until a rule breaks", Args: cobra.NoArgs,
+		Long:    "hunt plays short days whose fleet, load, network faults and incidents are drawn by a seed, one seed after the other, and\nnames those that break a rule, with the command that plays them again." + statuses,
+		Example: "  tillerkit rehearse hunt --for 10m\n  tillerkit rehearse hunt --first 1 --seeds 1000",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := newPrinter(cmd)
+			ctx, cancel := context.WithTimeout(cmd.Context(), length)
+			defer cancel()
+			h, err := rehearsal.Hunt(ctx, first, seeds, most, parallel, progressOf("seeds", seeds))
+			if err != nil {
+				return err
+			}
+			p.line("%d days: %d requests, %d tries, %d runs; served %d, refused %d, failed %d, lost with their connection %d", h.Seeds, h.Requests, h.Tries,
+				h.Runs, h.Served, h.Refused, h.Failed, h.Lost)
+			p.line("faults: %+v", h.World)
+			for _, f := range h.Found {
+				what := fmt.Sprintf("%d tries unanswered", f.Report.Unanswered)
+				if len(f.Report.Breaches) > 0 {
+					what = f.Report.Breaches[0]
+				}
+				p.line("seed %d: %s\n  again: tillerkit rehearse replay %d", f.Seed, what, f.Seed)
+			}
+			if err := p.object(h); err != nil {
+				return err
+			}
+			return found(len(h.Found) > 0)
+		}}
+	f := cmd.Flags()
+	f.Uint64Var(&first, "first", first, "the first seed")
+	f.IntVar(&seeds, "seeds", seeds, "how many")
+	f.DurationVar(&length, "for", length, "how long at the most")
+	f.IntVar(&most, "most", most, "how many findings end it")
+	f.IntVar(&parallel, "parallel", parallel, "days at a time")
+	return cmd
+}
+
+// seedArg reads a seed.
+func seedArg(text string) (uint64, error) {
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("found %q, want a seed: a whole number", text)
+	}
+	return seed, nil
+}
+
+func rehearseReplayCommand() *cobra.Command {
+	return &cobra.Command{Use: "replay SEED", Short: "Play a day that a hunt drew again", Args: cobra.ExactArgs(1),
+		Long: "replay plays the day that a seed of hunt draws." + statuses, Example: "  tillerkit rehearse replay 4711",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			seed, err := seedArg(args[0])
+			if err != nil {
+				return err
+			}
+			return playDay(newPrinter(cmd), rehearsal.Draw(seed), seed, "tillerkit rehearse replay "+args[0])
+		}}
+}
+
+func rehearseShrinkCommand() *cobra.Command {
+	return &cobra.Command{Use: "shrink SEED", Short: "Find the smallest day that still breaks a rule", Args: cobra.ExactArgs(1),
+		Long: "shrink takes away from the day that a seed of hunt draws what it can, as long as a rule still breaks." + statuses,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			seed, err := seedArg(args[0])
+			if err != nil {
+				return err
+			}
+			p := newPrinter(cmd)
+			s, err := rehearsal.Shrink(rehearsal.Draw(seed), seed)
+			if err != nil {
+				return err
+			}
+			r, err := rehearsal.Run(s, seed)
+			if err != nil {
+				return err
+			}
+			p.line("%+v", *s)
+			printDay(p, r)
+			return p.object(s)
+		}}
+}
--- a/internal/rehearsal/gateway.go
+++ b/internal/rehearsal/gateway.go
@@ -29,6 +29,7 @@
 	came   time.Duration
 	tries  int
 	served bool
+	repeat bool // it came again after it was served
 	over   bool // its last try is answered, lost or not made
 }
 
@@ -185,8 +186,36 @@
 	g.run.open[t.id] = t
 	g.run.report.Tries++
 	c.stream.Write(q.Records(id))
+	if g.rng.Float64() < g.run.scenario.Aborts {
+		g.run.world.After(time.Duration(g.rng.Int64N(int64(200*time.Millisecond))), func() {
+			if c.open[id] == t {
+				c.stream.Write(standin.Record(standin.Abort, id, nil, 0))
+			}
+		})
+	}
+}
+
+// stranger is a connection that is no gateway's: it sends something or nothing, and stays until it is closed.
+type stranger struct {
+	stream *simos.Stream
+	sends  []byte
 }
 
+func newStranger(r *run, n *node, sends []byte, stays time.Duration) {
+	s := &stranger{sends: sends}
+	s.stream = r.world.Dial(netip.AddrFrom4([4]byte{10, 4, 0, 1}), n.addr(), s)
+	r.world.After(stays, func() { s.stream.Close() })
+}
+
+// Connected implements simos.Actor.
+func (s *stranger) Connected() { s.stream.Write(s.sends) }
+
+// Data implements simos.Actor.
+func (s *stranger) Data([]byte) {}
+
+// Closed implements simos.Actor.
+func (s *stranger) Closed(error) {}
+
 // answered takes in an answer, and decides whether a further try follows.
 func (g *gateway) answered(t *try, a standin.Answer, at time.Time) {
 	r := t.request
--- /dev/null
+++ b/internal/rehearsal/scenarios/deploy-in-slowdown.sexp
@@ -0,0 +1,5 @@
+(name deploy-in-slowdown)
+(teaches "A release while a server is slow: its drain has to answer more than it can run.")
+(incident slow (at 5s) (for 8s) (server 1) (times 4))
+(incident deploy (at 7s) (for 500ms) (apart 2s))
+(expect (share 0.7) (recovered 4s))
--- /dev/null
+++ b/internal/rehearsal/scenarios/hasty-jump.sexp
@@ -0,0 +1,5 @@
+(name hasty-jump)
+(teaches "The same jump with gateways that ignore advice: further tries are load, and advice is what keeps them away.")
+(rate 600) (heeds 0) (pause 50ms)
+(incident jump (at 6s) (for 5s) (times 3))
+(expect (share 0.5) (recovered 5s))
--- /dev/null
+++ b/internal/rehearsal/scenarios/jump.sexp
@@ -0,0 +1,5 @@
+(name jump)
+(teaches "Three times the load for five seconds: the share falls to what the cores can do, and comes back at once.")
+(rate 600)
+(incident jump (at 6s) (for 5s) (times 3))
+(expect (share 0.6) (recovered 3s))
--- /dev/null
+++ b/internal/rehearsal/scenarios/one-round.sexp
@@ -0,0 +1,6 @@
+(name one-round)
+(teaches "The link is lost and SIGHUP and SIGTERM come within one round of the loop.")
+(incident partition (at 6s) (for 1s) (server 1))
+(incident reload (at 6s) (for 10ms) (server 1))
+(incident deploy (at 6s) (for 500ms) (server 1))
+(expect (share 0.8))
--- /dev/null
+++ b/internal/rehearsal/scenarios/pause-in-drain.sexp
@@ -0,0 +1,5 @@
+(name pause-in-drain)
+(teaches "The machine stands still for five seconds in the middle of a drain: the platform kills it, and no key runs twice.")
+(incident deploy (at 6s) (for 500ms) (server 1))
+(incident pause (at 6100ms) (for 5s) (server 1))
+(expect (share 0.7))
--- /dev/null
+++ b/internal/rehearsal/scenarios/reload-storm.sexp
@@ -0,0 +1,6 @@
+(name reload-storm)
+(teaches "SIGHUP comes ten times a second on every server: nothing of it may be seen from outside.")
+(rate 450)
+(incident reload (at 4s) (for 1s))
+(incident reload (at 9s) (for 1s))
+(expect (share 0.99))
--- /dev/null
+++ b/internal/rehearsal/scenarios/resets.sexp
@@ -0,0 +1,6 @@
+(name resets)
+(teaches "All connections to a server break, again and again: what ran is not run again.")
+(incident resets (at 5s) (server 1))
+(incident resets (at 6s) (server 1))
+(incident resets (at 7s) (server 1))
+(expect (share 0.85))
--- /dev/null
+++ b/internal/rehearsal/scenarios/sixty.sexp
@@ -0,0 +1,8 @@
+(name sixty)
+(teaches "Sixty servers, a jump and ten deaths, a tenth of a second apart: the fleet bends and does not break.")
+(length 10s) (servers 60) (gateways 6) (rate 9000)
+(incident jump (at 3s) (for 2s) (times 2))
+(incident death (at 4s) (for 1s) (server 7))
+(incident death (at 4100ms) (for 1s) (server 21))
+(incident death (at 4200ms) (for 1s) (server 44))
+(expect (share 0.6))
--- /dev/null
+++ b/internal/rehearsal/scenarios/trickle.sexp
@@ -0,0 +1,5 @@
+(name trickle)
+(teaches "Gateways read a byte a second with all their requests open: the others on that server must not feel it.")
+(gateways 8)
+(incident trickle (at 6s) (server 1))
+(expect (share 0.6))
--- a/internal/simos/world.go
+++ b/internal/simos/world.go
@@ -127,3 +127,12 @@
 
 // passes tells whether anything passes between two machines.
 func (w *World) passes(a, b netip.Addr) bool { return !w.cut[[2]netip.Addr{a, b}] }
+
+// Add adds the counts of another world.
+func (c *Counts) Add(o Counts) {
+	c.Events, c.Rounds, c.Segments, c.Connections = c.Events+o.Events, c.Rounds+o.Rounds, c.Segments+o.Segments, c.Connections+o.Connections
+	c.PartialReads, c.PartialWrites = c.PartialReads+o.PartialReads, c.PartialWrites+o.PartialWrites
+	c.Refused, c.Resets, c.OutOfFiles = c.Refused+o.Refused, c.Resets+o.Resets, c.OutOfFiles+o.OutOfFiles
+	c.DatagramsLost, c.DatagramsDoubled, c.Pauses = c.DatagramsLost+o.DatagramsLost, c.DatagramsDoubled+o.DatagramsDoubled, c.Pauses+o.Pauses
+	c.Kills, c.PartitionsHeld = c.Kills+o.Kills, c.PartitionsHeld+o.PartitionsHeld
+}
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -281,6 +281,9 @@
 	case "BREAK":
 		it.end(m.ID, "STOPPED", nil)
 	case "TOP":
+		if it.labour != nil {
+			it.labourOn(it.labour) // the gauge is that of now
+		}
 		if !it.mute {
 			it.write(message{Op: "TOPS", Tag: m.Tag, Values: []float64{it.busy, float64(len(it.running)), 0, 0}})
 		}
@@ -307,6 +310,7 @@
 	}
 	if it.labour != nil {
 		it.labour.left[a.ID] = it.labour.took(a)
+		it.labours(it.labour)
 	}
 	if it.prompt {
 		it.end(a.ID, "OK", slices.Concat([]byte("["), a.Body, []byte("]")))
--- a/server/drain.go
+++ b/server/drain.go
@@ -54,7 +54,7 @@
 // stop answers whatever is left, which the module should not have let come to this, and ends the loop once all
 // is sent.
 func (s *Server) stop() {
-	for _, t := range s.tries {
+	for _, t := range sorted(s.tries) {
 		s.answer(t, front.Answer{Status: statusFailed})
 	}
 	s.loop.After(stopMargin/2, s.loop.Stop)
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -1,6 +1,9 @@
 package server
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +15,7 @@
 // gateway is one connection of a gateway.
 type gateway struct {
 	server  *Server
+	number  uint64 // in the order of accepting
 	conn    *loop.Conn
 	session front.Session
 	tries   map[front.Stream]*try
@@ -27,12 +31,18 @@
 		return nil
 	}
 	s.count.accepted++
-	g := &gateway{server: s, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}, since: s.loop.Now()}
+	g := &gateway{server: s, number: s.count.accepted, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}, since: s.loop.Now()}
 	g.session = s.protocol(c, g)
 	s.gateways[g] = true
 	return g
 }
 
+// inOrder are the connections in the order of accepting: what is done to several of them must not hang on chance, or a
+// rehearsal could not be played again.
+func (s *Server) inOrder() []*gateway {
+	return slices.SortedFunc(maps.Keys(s.gateways), func(a, b *gateway) int { return cmp.Compare(a.number, b.number) })
+}
+
 // acceptFailed hears of a connection that could not be accepted.
 func (s *Server) acceptFailed(err error) {
 	s.count.acceptErrors++
--- a/server/idle.go
+++ b/server/idle.go
@@ -40,11 +40,17 @@
 	return idle
 }
 
+// longer tells whether a connection has rested for longer than another; of two alike the older one has.
+func (g *gateway) longer(o *gateway) bool {
+	a, b := g.conn.Active(), o.conn.Active()
+	return a.Before(b) || a.Equal(b) && g.number < o.number
+}
+
 // closeIdle closes connections that are overdue or carried nothing for the time the module set, and looks again
 // later.
 func (s *Server) closeIdle() {
 	now := s.loop.Now()
-	for g := range s.gateways {
+	for _, g := range s.inOrder() {
 		switch {
 		case g.overdue(now):
 			s.count.unfinished++
@@ -81,7 +87,7 @@
 			rank = 3
 		case g.sound == 0:
 			silent++
-			if oldest == nil || g.since.Before(oldest.since) {
+			if oldest == nil || g.since.Before(oldest.since) || g.since.Equal(oldest.since) && g.number < oldest.number {
 				oldest = g
 			}
 			if now.Sub(g.since) >= freshFor {
@@ -90,7 +96,7 @@
 		case g.session.Open() == 0 && now.Sub(g.conn.Active()) >= restFor:
 			rank = 1
 		}
-		if rank > best || rank == best && rank > 0 && g.conn.Active().Before(victim.conn.Active()) {
+		if rank > best || rank == best && rank > 0 && g.longer(victim) {
 			victim, best = g, rank
 		}
 	}
--- a/server/requests.go
+++ b/server/requests.go
@@ -193,7 +193,7 @@
 }
 
 // sorted returns tries in the order of reading.
-func sorted(tries map[front.Stream]*try) []*try {
+func sorted[K comparable](tries map[K]*try) []*try {
 	list := make([]*try, 0, len(tries))
 	for _, t := range tries {
 		list = append(list, t)
--- a/server/server.go
+++ b/server/server.go
@@ -180,7 +180,7 @@
 // Close gives up what a server holds.
 func (s *Server) Close() {
 	s.listener.Close()
-	for g := range s.gateways {
+	for _, g := range s.inOrder() {
 		g.conn.Close()
 	}
 	if s.link != nil {
