Count no time without runs as time without progress: no false stall after idling

The clock of core time went on while nothing ran, so all of the time since the last look counted as time in which nothing ended, which is over 60 runs where they take less than 1.7 ms. The clock now stands still meanwhile.

--- a/internal/rehearsal/gateway.go
+++ b/internal/rehearsal/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -18,6 +19,8 @@
 	// answerSlack is how long after its deadline an answer may come: it crosses the network, and timers are coarse.
 	answerSlack = 100 * time.Millisecond
 	redial      = 100 * time.Millisecond
+	// surelyRead is how long after it was sent a request was read by a server that runs.
+	surelyRead = 100 * time.Millisecond
 )
 
 // request is what a caller wants.
@@ -39,6 +42,8 @@
 	request *request
 	from    *gateway
 	at      *node
+	sent    time.Duration
+	life    int // of the node
 }
 
 // gateway sends requests of callers to all servers, over one connection to each.
@@ -85,12 +90,17 @@
 func (c *conn) Connected() { c.up = true }
 
 // Closed implements simos.Actor.
-func (c *conn) Closed(error) {
+func (c *conn) Closed(err error) {
 	c.up = false
 	for id := range uint16(maxOpen) {
-		if t := c.open[id+1]; t != nil {
-			c.gateway.lost(t)
+		t := c.open[id+1]
+		if t == nil {
+			continue
 		}
+		if err == io.EOF && c.endedOn(t) {
+			c.gateway.run.breach("%s ended a connection with try %s open, which it had for %v", c.node.name(), t.id, c.gateway.run.world.Elapsed()-t.sent)
+		}
+		c.gateway.lost(t)
 	}
 	c.open = map[uint16]*try{}
 	if !c.gateway.run.over {
@@ -98,6 +108,12 @@
 	}
 }
 
+// endedOn tells whether a server that lives ended a connection with a request open that it must have read.
+func (c *conn) endedOn(t *try) bool {
+	n, now := c.node, c.gateway.run.world.Elapsed()
+	return !c.slow && !n.dead && t.life == n.life && now-t.sent > surelyRead && now-n.stood > surelyRead
+}
+
 // Data implements simos.Actor.
 func (c *conn) Data(p []byte) {
 	answers, err := c.reader.Feed(p)
@@ -164,7 +180,7 @@
 		return
 	}
 	g.run.tries++
-	t := &try{id: fmt.Sprintf("%016x", g.run.tries), request: r, from: g, at: c.node}
+	t := &try{id: fmt.Sprintf("%016x", g.run.tries), request: r, from: g, at: c.node, sent: w.Elapsed(), life: c.node.life}
 	id := c.free[len(c.free)-1]
 	c.free = c.free[:len(c.free)-1]
 	c.open[id] = t
@@ -186,6 +202,14 @@
 	g.run.open[t.id] = t
 	g.run.report.Tries++
 	c.stream.Write(q.Records(id))
+	if r.key != "" && g.rng.Float64() < g.run.scenario.Hedges {
+		w.After(time.Duration(g.rng.Int64N(int64(100*time.Millisecond))), func() {
+			if c.open[id] == t && !g.run.over {
+				r.tries--
+				g.send(r)
+			}
+		})
+	}
 	if g.rng.Float64() < g.run.scenario.Aborts {
 		g.run.world.After(time.Duration(g.rng.Int64N(int64(200*time.Millisecond))), func() {
 			if c.open[id] == t {
--- a/internal/rehearsal/hunt.go
+++ b/internal/rehearsal/hunt.go
@@ -22,11 +22,11 @@
 	s.Work = time.Duration(1+rng.IntN(20)) * time.Millisecond
 	s.Net = simos.Net{Delay: time.Duration(rng.IntN(500)) * time.Microsecond, Jitter: time.Duration(rng.IntN(2000)) * time.Microsecond,
 		Partial: rng.Float64() * 0.5, Lost: rng.Float64() * 0.1, Doubled: rng.Float64() * 0.1}
-	s.Repeats, s.Aborts = rng.Float64()*0.5, rng.Float64()*0.05
+	s.Repeats, s.Hedges, s.Aborts = rng.Float64()*0.5, rng.Float64()*0.2, rng.Float64()*0.05
 	if rng.IntN(3) == 0 {
 		s.Files = 340 + rng.IntN(30)
 	}
-	kinds := []Kind{Death, Deploy, Slow, Jump, Partition, Reload, Standing, Trickle, Resets, Garbage, Flood}
+	kinds := []Kind{Death, Deploy, Slow, Jump, Partition, Reload, Standing, Trickle, Resets, Garbage, Cut, Cut, Flood}
 	for range 1 + rng.IntN(6) {
 		s.Incidents = append(s.Incidents, Incident{Kind: kinds[rng.IntN(len(kinds))], At: time.Duration(rng.Int64N(int64(s.Length))),
 			For: time.Duration(rng.Int64N(int64(1500 * time.Millisecond))), Server: rng.IntN(s.Servers + 1), Times: 0.5 + 4*rng.Float64()})
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -30,6 +30,9 @@
 	interpreter *standin.Interpreter
 	slow        float64
 	life        int
+	dead        bool          // it was killed in this life
+	newest      *simos.Stream // of the links
+	moved       uint16        // how often the interpreter moved between its two addresses
 	leaving     bool
 	stopped     time.Duration // when it was told to leave
 	stood       time.Duration // until when its machine stood still
@@ -39,13 +42,16 @@
 	n := &node{run: r, number: number, slow: 1, host: netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}),
 		vm: netip.AddrFrom4([4]byte{10, 2, byte(number >> 8), byte(number)})}
 	n.newInterpreter()
-	r.world.Listen(n.vmAddr(), n.link)
+	for range 2 {
+		r.world.Listen(n.vmAddr(), n.link)
+		n.moved++
+	}
 	n.start()
 	return n
 }
 
 func (n *node) addr() netip.AddrPort   { return netip.AddrPortFrom(n.host, 9000) }
-func (n *node) vmAddr() netip.AddrPort { return netip.AddrPortFrom(n.vm, 9100) }
+func (n *node) vmAddr() netip.AddrPort { return netip.AddrPortFrom(n.vm, 9100+n.moved%2) }
 func (n *node) name() string           { return fmt.Sprint("n", n.number) }
 
 // newInterpreter has a new interpreter take the links that come from now on.
@@ -64,7 +70,10 @@
 	from *simos.Stream
 }
 
-func (n *node) link(s *simos.Stream) simos.Actor { return &link{n.interpreter.Attach(s), s} }
+func (n *node) link(s *simos.Stream) simos.Actor {
+	n.newest = s
+	return &link{n.interpreter.Attach(s), s}
+}
 
 // Connected implements simos.Actor.
 func (l *link) Connected() {}
@@ -87,7 +96,7 @@
 		}
 	}
 	n.life++
-	n.leaving = false
+	n.leaving, n.dead = false, false
 	n.process = n.run.world.Start(n.name(), n.host, n.run.scenario.Files, func(p *simos.Process) error {
 		s, err := server.NewOn(p, n.config(), zap.NewNop())
 		if err != nil {
@@ -105,6 +114,7 @@
 
 // kill ends server and interpreter at once; another interpreter is there for the next server.
 func (n *node) kill() {
+	n.dead = true
 	n.process.Kill()
 	n.server = nil
 	n.interpreter.Close()
@@ -127,6 +137,7 @@
 		if n.stood < n.stopped { // a machine that stands still can't help it
 			n.run.breach("%s was told to leave at %v and did not end before it was killed", n.name(), n.stopped)
 		}
+		n.dead = true
 		n.process.Kill()
 	})
 	var look func()
--- /dev/null
+++ b/internal/rehearsal/probe.go
@@ -0,0 +1,78 @@
+package rehearsal
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+
+	"tillerusher/internal/simos"
+	"tillerusher/internal/standin"
+)
+
+// probe asks a server for a lookup and a reservation after the day, on a connection of its own: a server that is left alone
+// and has its interpreter serves both.
+type probe struct {
+	run    *run
+	node   *node
+	stream *simos.Stream
+	reader standin.Reader
+	served int
+	heard  []string
+}
+
+// probe asks every server that runs.
+func (r *run) probe() (list []*probe) {
+	for _, n := range r.nodes {
+		if ended, _ := n.process.Ended(); !ended && !n.leaving && r.world.Elapsed()-n.stood > r.scenario.Calm {
+			p := &probe{run: r, node: n}
+			p.stream = r.world.Dial(netip.AddrFrom4([4]byte{10, 5, 0, 1}), n.addr(), p)
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// Connected implements simos.Actor.
+func (p *probe) Connected() {
+	for id, path := range []string{"/v1/part-lookup", "/v1/stock-reserve"} {
+		p.run.tries++
+		q := standin.Request{Method: "POST", Path: path, Body: standin.WorkBody("probe", 0), Fields: map[string]string{
+			"Request-Id": fmt.Sprintf("%016x", p.run.tries), "Received-At": strconv.FormatInt(p.run.world.Now().UnixMilli(), 10), "Sent-By": "1",
+			"Account": "central", "Work-Estimate": "12.50", "Footprint-Kb": "24.5", "Priority-Rank": "0.6250"}}
+		if id == 1 {
+			q.Fields["Once-Key"] = fmt.Sprintf("%032x", p.run.tries)
+		}
+		p.run.probes[q.Fields["Request-Id"]] = true
+		p.stream.Write(q.Records(uint16(id + 1)))
+	}
+}
+
+// Data implements simos.Actor.
+func (p *probe) Data(b []byte) {
+	answers, err := p.reader.Feed(b)
+	if err != nil {
+		p.heard = append(p.heard, err.Error())
+	}
+	for _, a := range answers {
+		if a.Status == 200 {
+			p.served++
+		}
+		p.heard = append(p.heard, fmt.Sprintf("status %d to %d", a.Status, a.ID))
+	}
+}
+
+// Closed implements simos.Actor.
+func (p *probe) Closed(err error) {
+	if err != io.EOF {
+		p.heard = append(p.heard, err.Error())
+	}
+}
+
+// judge says whether both were served.
+func (p *probe) judge() {
+	if p.served != 2 {
+		p.run.breach("%s, left alone after the day, served %d of 2 probes: %v", p.node.name(), p.served, p.heard)
+	}
+	p.stream.Close()
+}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// TestFirstAfterIdling has a lookup come to a server that had nothing to do for a while, shortly before its next look at the
+// gauges: the time that nothing ran for counted as time without progress, and the run was stopped for a stall.
+func TestFirstAfterIdling(t *testing.T) {
+	s := Draw(262)
+	s.Calm = time.Second
+	r, err := Run(s, 262)
+	if err != nil || r.broken() {
+		t.Errorf("%v, %v", r, err)
+	}
+}
+
 // FuzzParse reads any text as a scenario: it is taken or named, and what is taken can be played.
 func FuzzParse(f *testing.F) {
 	f.Add("(name x) (servers 2) (incident death (at 1s) (server 2))")
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -25,7 +25,9 @@
 // answers and drains.
 const (
 	warm      = time.Second
-	settleFor = 8 * time.Second
+	settleFor = 5 * time.Second
+	// After the day and its calm each server is asked for a lookup and a reservation.
+	probeFor  = 3 * time.Second
 	mostNamed = 20 // breaches that a report names
 )
 
@@ -70,6 +72,7 @@
 	observer  *rules.Observer
 	accepting map[string]bool
 	open      map[string]*try
+	probes    map[string]bool // ids of tries that are no caller's
 	requests  []*request
 	tries     int
 	jump      float64
@@ -85,7 +88,7 @@
 		return nil, fmt.Errorf("rehearsal: %w", err)
 	}
 	r := &run{scenario: s, told: told, world: simos.New(seed, begin), rng: rand.New(rand.NewPCG(seed, 1)), observer: rules.New(standin.Window),
-		accepting: map[string]bool{}, open: map[string]*try{}, jump: 1, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
+		accepting: map[string]bool{}, open: map[string]*try{}, probes: map[string]bool{}, jump: 1, latency: hdrhistogram.New(1, time.Minute.Microseconds(), 3),
 		report: &Report{Scenario: s.Name, Seed: seed}}
 	r.world.Net = s.Net
 	r.world.Hear(announceAt, r.heard)
@@ -103,10 +106,16 @@
 	r.world.Run(warm+s.Length, nil)
 	r.world.Run(warm+s.Length+standin.ReserveDeadline, nil)
 	r.over = true
+	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm, nil)
+	probes := r.probe()
+	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm+probeFor, nil)
+	for _, p := range probes {
+		p.judge()
+	}
 	for _, n := range r.nodes {
 		n.leave(nil)
 	}
-	r.world.Run(warm+s.Length+standin.ReserveDeadline+settleFor, nil)
+	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm+probeFor+settleFor, nil)
 	return r.finish(), nil
 }
 
@@ -129,7 +138,9 @@
 // ran hears of a run.
 func (r *run) ran(id string) {
 	r.report.Runs++
-	r.observer.Ran(id)
+	if !r.probes[id] {
+		r.observer.Ran(id)
+	}
 }
 
 // died has nobody wait for a server that is gone. What its callers see of it comes by the network.
@@ -218,6 +229,7 @@
 		for k := range 10 {
 			w.After(time.Duration(k)*i.For/10, func() {
 				if n.server != nil {
+					n.moved++
 					n.server.Reload(n.config())
 				}
 			})
@@ -226,6 +238,11 @@
 		n.process.Pause(i.For)
 		n.stood = w.Elapsed() + i.For
 		r.observer.Excuse(i.For)
+	case Cut:
+		if r.rng.IntN(2) == 0 && n.newest != nil {
+			n.newest.Reset() // and what is on its way is lost
+		}
+		n.interpreter.Cut()
 	case Garbage:
 		for range 5 {
 			newStranger(r, n, r.garbage(), i.For)
--- a/internal/rehearsal/scenario.go
+++ b/internal/rehearsal/scenario.go
@@ -10,6 +10,7 @@
 
 	"tillerusher/internal/sexp"
 	"tillerusher/internal/simos"
+	"tillerusher/internal/standin"
 )
 
 // Scenario is a day that is played.
@@ -17,6 +18,7 @@
 	Name      string
 	Teaches   string
 	Length    time.Duration
+	Calm      time.Duration // after it, before servers are probed: kept keys count as memory, and may be all of it
 	Servers   int
 	Cores     int           // of each server's interpreter
 	Work      time.Duration // mean time of a core that a run takes
@@ -27,6 +29,7 @@
 	Heeds     float64 // part of the gateways that come back when they were told to; the others come after their pause
 	Pause     time.Duration
 	Repeats   float64 // part of the served keyed requests that come again
+	Hedges    float64 // part of the keyed tries that are sent again while they are open
 	Aborts    float64 // part of the tries that their gateway takes back
 	Files     int     // descriptors of each server
 	Net       simos.Net
@@ -49,6 +52,7 @@
 	Trickle   Kind = "trickle"   // the gateways' connections of the moment are read a byte at a time
 	Resets    Kind = "resets"    // the gateways' connections of the moment break
 	Garbage   Kind = "garbage"   // callers send what is no request, or a part of one
+	Cut       Kind = "cut"       // the link to the interpreter breaks
 	Flood     Kind = "flood"     // more connections come than there are descriptors, and are held open
 )
 
@@ -70,7 +74,7 @@
 
 // Defaults are what a scenario is where its file says nothing.
 func Defaults() Scenario {
-	return Scenario{Length: 20 * time.Second, Servers: 3, Cores: 2, Work: 4 * time.Millisecond, Rate: 600, Keyed: 0.2, Gateways: 4, Tries: 3, Heeds: 1,
+	return Scenario{Length: 20 * time.Second, Calm: standin.Window + 10*time.Second, Servers: 3, Cores: 2, Work: 4 * time.Millisecond, Rate: 600, Keyed: 0.2, Gateways: 4, Tries: 3, Heeds: 1,
 		Pause: 100 * time.Millisecond, Repeats: 0.05, Files: serverFiles, Net: simos.Net{Delay: 50 * time.Microsecond, Jitter: 150 * time.Microsecond, Partial: 0.05, Lost: 0.01, Doubled: 0.01}}
 }
 
@@ -96,6 +100,7 @@
 		"name":     sexp.Text(&s.Name),
 		"teaches":  sexp.Text(&s.Teaches),
 		"length":   sexp.Duration(&s.Length, time.Second, longest),
+		"calm":     sexp.Duration(&s.Calm, time.Second, longest),
 		"servers":  sexp.Int(&s.Servers, 1, 200),
 		"cores":    sexp.Int(&s.Cores, 1, 64),
 		"work":     sexp.Duration(&s.Work, 10*time.Microsecond, time.Minute),
@@ -106,6 +111,7 @@
 		"heeds":    sexp.Number(&s.Heeds, 0, 1),
 		"pause":    sexp.Duration(&s.Pause, time.Millisecond, time.Minute),
 		"repeats":  sexp.Number(&s.Repeats, 0, 1),
+		"hedges":   sexp.Number(&s.Hedges, 0, 1),
 		"aborts":   sexp.Number(&s.Aborts, 0, 1),
 		"files":    sexp.Int(&s.Files, 64, 100_000),
 		"network": func(form sexp.Node) error {
@@ -152,10 +158,10 @@
 		return i, err
 	}
 	switch i.Kind = Kind(word); i.Kind {
-	case Death, Deploy, Slow, Jump, Partition, Reload, Standing, Trickle, Resets, Garbage, Flood:
+	case Death, Deploy, Slow, Jump, Partition, Reload, Standing, Trickle, Resets, Garbage, Cut, Flood:
 	default:
-		return i, sexp.Errorf(form.Items[1].At, "found %s, want %s, %s, %s, %s, %s, %s, %s, %s, %s, %s or %s", word, Death, Deploy, Slow, Jump, Partition, Reload,
-			Standing, Trickle, Resets, Garbage, Flood)
+		return i, sexp.Errorf(form.Items[1].At, "found %s, want %s, %s, %s, %s, %s, %s, %s, %s, %s, %s, %s or %s", word, Death, Deploy, Slow, Jump, Partition, Reload,
+			Standing, Trickle, Resets, Garbage, Cut, Flood)
 	}
 	err = sexp.Fields(form.Rest(2), map[string]func(sexp.Node) error{
 		"at":     sexp.Duration(&i.At, 0, longest),
--- /dev/null
+++ b/internal/rehearsal/scenarios/cut-link.sexp
@@ -0,0 +1,7 @@
+(name cut-link)
+(teaches "The link to an interpreter breaks again and again, at times with what is on its way: each run is heard of once.")
+(incident cut (at 5s) (server 1))
+(incident cut (at 5200ms) (server 1))
+(incident cut (at 7s) (server 2))
+(incident cut (at 9s))
+(expect (share 0.95))
--- a/policy.go
+++ b/policy.go
@@ -123,7 +123,7 @@
 	onCores   int     // running, with those ended whose work goes on
 	atCall    int     // asking or calling
 	inHand    int     // calls out
-	coreClock float64 // core time of a request that had always been running, in seconds
+	coreClock float64 // core time of a request that ran whenever any did, in seconds
 	progress  float64 // the core clock at the last end of a run or part
 	longest   float64 // seconds of the longest run of late
 	busy      float64 // the core gauge
@@ -209,7 +209,7 @@
 	if now <= in.now {
 		return
 	}
-	part := float64(in.set.Cores) / float64(max(in.onCores, in.set.Cores))
+	part := float64(min(in.onCores, 1)*in.set.Cores) / float64(max(in.onCores, in.set.Cores))
 	// A timer comes at each glance: a longer gap means that the process stood still, and its work with it.
 	in.coreClock += min(now-in.now, 2*glance).Seconds() * part
 	in.callDebt = max(0, in.callDebt+(now-in.now).Seconds()*(float64(in.inHand)-in.set.FairCalls))
