--- a/cmd/tillerkit/rehearse.go
+++ b/cmd/tillerkit/rehearse.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"tillerusher/internal/rehearsal"
+	"tillerusher/internal/report"
 )
 
 func rehearseCommand() *cobra.Command {
@@ -62,27 +64,33 @@
 }
 
 func rehearseRunCommand() *cobra.Command {
-	seed := uint64(1)
+	seed, page := uint64(1), ""
 	cmd := &cobra.Command{Use: "run NAME", Short: "Play a scenario", Args: cobra.ExactArgs(1),
 		Long:    "run plays a scenario of the library, or of a file that ends in .sexp. Exit status 1 where a rule is broken or what was\nexpected does not hold." + statuses,
-		Example: "  tillerkit rehearse run rolling-deploy --seed 7",
+		Example: "  tillerkit rehearse run rolling-deploy --seed 7\n  tillerkit rehearse run friday.sexp --page friday.html",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := rehearsal.Find(args[0])
 			if err != nil {
 				return inputError{err}
 			}
-			return playDay(newPrinter(cmd), s, seed, fmt.Sprintf("tillerkit rehearse run %s --seed %d", args[0], seed))
+			return playDay(newPrinter(cmd), s, seed, fmt.Sprintf("tillerkit rehearse run %s --seed %d", args[0], seed), page)
 		}}
+	cmd.Flags().StringVar(&page, "page", "", "file for a page (HTML) with the figures and a picture of the day")
 	cmd.Flags().Uint64Var(&seed, "seed", seed, "seed of all that is drawn")
 	return cmd
 }
 
 // playDay plays a day, prints it, and says how to play it again where something is wrong.
-func playDay(p printer, s *rehearsal.Scenario, seed uint64, again string) error {
+func playDay(p printer, s *rehearsal.Scenario, seed uint64, again, page string) error {
 	r, err := rehearsal.Run(s, seed)
 	if err != nil {
 		return err
 	}
+	if page != "" {
+		if err := writeDay(page, s, r); err != nil {
+			return err
+		}
+	}
 	printDay(p, r)
 	bad := r.BreachesN > 0 || r.Unanswered > 0 || len(r.Missed) > 0
 	if bad {
@@ -94,6 +102,53 @@
 	return found(bad)
 }
 
+// dayPage is the page of a day.
+func dayPage(s *rehearsal.Scenario, r *rehearsal.Report) report.Page {
+	share := report.Line{Name: "share of requests served"}
+	load := report.Line{Name: "requests"}
+	for n, second := range r.Seconds {
+		share.Points = append(share.Points, [2]float64{float64(n), float64(second.Served) / float64(max(second.Requests, 1))})
+		load.Points = append(load.Points, [2]float64{float64(n), float64(second.Requests)})
+	}
+	var shades [][2]float64
+	incidents := report.Section{Title: "Incidents", Head: []string{"what", "at", "for", "server"}}
+	for _, i := range s.Incidents {
+		shades = append(shades, [2]float64{i.At.Seconds(), (i.At + i.For).Seconds()})
+		where := "all"
+		if i.Server > 0 {
+			where = strconv.Itoa(i.Server)
+		}
+		incidents.Rows = append(incidents.Rows, []string{string(i.Kind), i.At.String(), i.For.String(), where})
+	}
+	row := func(name string, n int) []string { return []string{name, strconv.Itoa(n)} }
+	sums := report.Section{Title: "Result", Head: []string{"what", "figure"}, Rows: [][]string{row("requests", r.Requests), {"share served", fmt.Sprintf("%.3f", r.Share)},
+		{"p50", fmt.Sprintf("%.1f ms", r.P50)}, {"p99", fmt.Sprintf("%.1f ms", r.P99)}, {"recovered after", fmt.Sprintf("%.0f s", r.Recovered)}, row("tries", r.Tries),
+		row("refused", r.Refused), row("failed", r.Failed), row("lost with their connection", r.Lost), row("not sent", r.Unsent),
+		row("unanswered", r.Unanswered), row("broken rules", r.BreachesN), row("expectations that do not hold", len(r.Missed))},
+		Charts: []report.Chart{{Title: "Share served", X: "seconds", Y: "share", Lines: []report.Line{share}, Shades: shades},
+			{Title: "Load", X: "seconds", Y: "requests a second", Lines: []report.Line{load}, Shades: shades}}}
+	for _, text := range append(append([]string(nil), r.Breaches...), r.Missed...) {
+		sums.Text += text + ". "
+	}
+	return report.Page{Title: s.Name + ", seed " + strconv.FormatUint(r.Seed, 10), Lead: s.Teaches, Sections: []report.Section{sums, incidents}}
+}
+
+// writeDay writes the page of a day.
+func writeDay(path string, s *rehearsal.Scenario, r *rehearsal.Report) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	err = dayPage(s, r).HTML(f)
+	if other := f.Close(); err == nil {
+		err = other
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
 func rehearseHuntCommand() *cobra.Command {
 	first, seeds, most, parallel, length := uint64(1), 1_000_000_000, 5, runtime.GOMAXPROCS(0), time.Minute
 	cmd := &cobra.Command{Use: "hunt", Short: "Play days that seeds draw until a rule breaks", Args: cobra.NoArgs,
@@ -148,7 +203,7 @@
 			if err != nil {
 				return err
 			}
-			return playDay(newPrinter(cmd), rehearsal.Draw(seed), seed, "tillerkit rehearse replay "+args[0])
+			return playDay(newPrinter(cmd), rehearsal.Draw(seed), seed, "tillerkit rehearse replay "+args[0], "")
 		}}
 }
 
--- a/internal/standin/fastcgi.go
+++ b/internal/standin/fastcgi.go
@@ -127,6 +127,9 @@
 			rd.stdout[id] = append(rd.stdout[id], content...)
 		case kind == End:
 			a, err := parse(rd.stdout[id])
+			if err == nil && n < 5 {
+				err = fmt.Errorf("an end record of %d bytes", n)
+			}
 			if err != nil {
 				return answers, err
 			}
