Count no request as lost that was answered before its connection broke

Rehearsals now hold a server's counters against each other at its end: what it took in was served, refused, failed, invalid, or lost with its connection.

--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -32,7 +32,8 @@
 	life        int
 	dead        bool          // it was killed in this life
 	newest      *simos.Stream // of the links
-	moved       uint16        // how often the interpreter moved between its two addresses
+	counters    *counters
+	moved       uint16 // how often the interpreter moved between its two addresses
 	leaving     bool
 	stopped     time.Duration // when it was told to leave
 	stood       time.Duration // until when its machine stood still
@@ -96,9 +97,9 @@
 		}
 	}
 	n.life++
-	n.leaving, n.dead = false, false
+	n.leaving, n.dead, n.counters = false, false, &counters{}
 	n.process = n.run.world.Start(n.name(), n.host, n.run.scenario.Files, func(p *simos.Process) error {
-		s, err := server.NewOn(p, n.config(), zap.NewNop())
+		s, err := server.NewOn(p, n.config(), zap.New(n.counters))
 		if err != nil {
 			return err
 		}
@@ -154,6 +155,9 @@
 			if left := n.process.Files(); left > 0 {
 				n.run.breach("%s ended with %d descriptors open", n.name(), left)
 			}
+			if in, out, told := n.counters.sums(); err == nil && !n.dead && (!told || in != out) {
+				n.run.breach("%s took %d requests in, and %d were served, refused, failed, invalid or lost with their connection", n.name(), in, out)
+			}
 			n.server = nil
 			n.run.died(n)
 			if then != nil {
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -92,6 +92,15 @@
 	}
 }
 
+// TestLostAfterAnswer has a connection break whose requests wait for each other: the end of one answered another, which was then
+// counted as lost as well, and told to the module as gone.
+func TestLostAfterAnswer(t *testing.T) {
+	r, err := Run(Draw(346), 346)
+	if err != nil || r.broken() {
+		t.Errorf("%+v, %v", r, err)
+	}
+}
+
 // FuzzParse reads any text as a scenario: it is taken or named, and what is taken can be played.
 func FuzzParse(f *testing.F) {
 	f.Add("(name x) (servers 2) (incident death (at 1s) (server 2))")
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -102,6 +102,9 @@
 	s := g.server
 	g.session.Close()
 	for _, t := range sorted(g.tries) {
+		if t.answered {
+			continue // the end of one before it had the module answer it
+		}
 		s.count.lost++
 		t.answered = true
 		now := s.event()
