Hold no lock of the counters while a folder is opened anew

The server's loop reads the store's counters, and waited for as long as the writer asked a sick disk and opened another engine, since both took one lock. Only the writer opens engines, so it holds none meanwhile, and the count of reopenings is with its others.

Checked: the store's tests, DiskComesBack and Linearizable under the race detector.

--- a/internal/store/engine.go
+++ b/internal/store/engine.go
@@ -186,29 +186,6 @@
 	}()
 }
 
-// working is the engine to write with, which is opened where the one before it failed and the disk is well again.
-func (s *Store) working() (*engine, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.engine != nil:
-		return s.engine, nil
-	case s.stuck >= mostStuck:
-		return nil, errWornOut
-	}
-	if err := s.probe(); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	e, err := openEngine(s.config)
-	if err != nil {
-		s.stuck++ // what was half open is not told apart from what was not
-		return nil, err
-	}
-	s.engine = e
-	s.reopened++
-	return e, nil
-}
-
 // probe asks a disk that failed whether it takes down what records need, so that an engine is opened only where it is well.
 func (s *Store) probe() error {
 	fsys := s.config.FS
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -70,10 +70,9 @@
 	identity Identity
 	writer   *writer // nil where it is only read
 
-	mu       sync.RWMutex
-	engine   *engine // nil after a failure, until the disk is well
-	stuck    int     // engines that failed and did not end
-	reopened uint64
+	mu     sync.RWMutex
+	engine *engine // nil after a failure, until the disk is well
+	stuck  int     // engines that failed and did not end
 }
 
 // lockName is the file in a folder by which one process has it.
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -43,8 +43,7 @@
 	bytes   int
 	closed  bool
 	ended   chan struct{}
-	syncs   uint64
-	written uint64
+	counts  durable.StoreCounts
 }
 
 func startWriter(s *Store) *writer {
@@ -77,12 +76,9 @@
 
 // Counts are what the store did since it was opened.
 func (s *Store) Counts() durable.StoreCounts {
-	s.mu.RLock()
-	reopened := s.reopened
-	s.mu.RUnlock()
 	s.writer.mu.Lock()
 	defer s.writer.mu.Unlock()
-	return durable.StoreCounts{Syncs: s.writer.syncs, Changes: s.writer.written, Reopened: reopened}
+	return s.writer.counts
 }
 
 // run writes until it is stopped and nothing waits.
@@ -119,7 +115,7 @@
 
 // commit writes a batch with one sync.
 func (w *writer) commit(batch []order) error {
-	e, err := w.store.working()
+	e, err := w.engine()
 	if err != nil {
 		return err
 	}
@@ -133,11 +129,41 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.syncs++
-	w.written += n
+	w.counts.Syncs++
+	w.counts.Changes += n
 	return nil
 }
 
+// engine is what to write with, which is opened where the one before it failed and the disk is well again. That may take long:
+// no lock is held meanwhile, and no other goroutine opens one.
+func (w *writer) engine() (*engine, error) {
+	s := w.store
+	s.mu.RLock()
+	e, stuck := s.engine, s.stuck
+	s.mu.RUnlock()
+	switch {
+	case e != nil:
+		return e, nil
+	case stuck >= mostStuck:
+		return nil, errWornOut
+	}
+	if err := s.probe(); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	e, err := openEngine(s.config)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.stuck++ // what was half open is not told apart from what was not
+		return nil, err
+	}
+	s.engine = e
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts.Reopened++
+	return e, nil
+}
+
 // writeBatch writes changes that go down together.
 func writeBatch(db *pebble.DB, batch []order) (err error) {
 	b := db.NewBatch()
