Keep connections in a list, in the order of accepting

The order that rehearsals need was had by numbers, ties in two comparisons, and by sorting all connections at each look for idle ones, which many idle connections would pay for. A list has it: the first of two alike is the older one, and nothing is sorted.

--- a/server/counters.go
+++ b/server/counters.go
@@ -31,7 +31,7 @@
 func (s *Server) report(why string) {
 	c := &s.count
 	s.logReadings("counters", []zap.Field{zap.String("why", why)}, append([]reading{
-		{"connections", uint64(len(s.gateways))}, {"open", uint64(len(s.tries))}, {"running", uint64(s.link.Runs())},
+		{"connections", uint64(s.gateways.Len())}, {"open", uint64(len(s.tries))}, {"running", uint64(s.link.Runs())},
 		{"keys", uint64(len(s.keys.entries))}, {"result_bytes", uint64(s.keys.bytes)},
 		{"accepted", c.accepted}, {"turned_away", c.turnedAway}, {"made_room", c.madeRoom},
 		{"accept_errors", c.acceptErrors}, {"idle_closed", c.idleClosed}, {"unfinished", c.unfinished},
--- a/server/drain.go
+++ b/server/drain.go
@@ -44,7 +44,7 @@
 
 // waitIdle stops the loop when no connection is left.
 func (s *Server) waitIdle() {
-	if len(s.gateways) == 0 {
+	if s.gateways.Len() == 0 {
 		s.loop.Stop()
 		return
 	}
@@ -64,7 +64,7 @@
 // waitSent stops the loop when nothing waits to be sent.
 func (s *Server) waitSent() {
 	unsent := 0
-	for g := range s.gateways {
+	for g := range s.connections() {
 		unsent += g.conn.Unsent()
 	}
 	if unsent == 0 {
--- a/server/gateway.go
+++ b/server/gateway.go
@@ -1,9 +1,8 @@
 package server
 
 import (
-	"cmp"
-	"maps"
-	"slices"
+	"container/list"
+	"iter"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +14,7 @@
 // gateway is one connection of a gateway.
 type gateway struct {
 	server  *Server
-	number  uint64 // in the order of accepting
+	place   *list.Element // among the server's connections
 	conn    *loop.Conn
 	session front.Session
 	tries   map[front.Stream]*try
@@ -26,21 +25,28 @@
 
 // accept takes in a new connection, while descriptors are left for everything else.
 func (s *Server) accept(c *loop.Conn) loop.ConnHandler {
-	if len(s.gateways) >= s.cfg.Limits.Sockets-spareSockets && !s.makeRoom() {
+	if s.gateways.Len() >= s.cfg.Limits.Sockets-spareSockets && !s.makeRoom() {
 		s.count.turnedAway++
 		return nil
 	}
 	s.count.accepted++
-	g := &gateway{server: s, number: s.count.accepted, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}, since: s.loop.Now()}
+	g := &gateway{server: s, conn: c, tries: map[front.Stream]*try{}, smokes: map[front.Stream]bool{}, since: s.loop.Now()}
 	g.session = s.protocol(c, g)
-	s.gateways[g] = true
+	g.place = s.gateways.PushBack(g)
 	return g
 }
 
-// inOrder are the connections in the order of accepting: what is done to several of them must not hang on chance, or a
-// rehearsal could not be played again.
-func (s *Server) inOrder() []*gateway {
-	return slices.SortedFunc(maps.Keys(s.gateways), func(a, b *gateway) int { return cmp.Compare(a.number, b.number) })
+// connections are those of gateways in the order of accepting: what is done to several of them must not hang on chance, or a
+// rehearsal could not be played again. The one that is handed on may end meanwhile.
+func (s *Server) connections() iter.Seq[*gateway] {
+	return func(yield func(*gateway) bool) {
+		for e := s.gateways.Front(); e != nil; {
+			g := e.Value.(*gateway)
+			if e = e.Next(); !yield(g) {
+				return
+			}
+		}
+	}
 }
 
 // acceptFailed hears of a connection that could not be accepted.
@@ -93,7 +99,7 @@
 
 // end forgets a connection that is gone.
 func (g *gateway) end() {
-	delete(g.server.gateways, g)
+	g.server.gateways.Remove(g.place)
 	g.giveUp()
 }
 
--- a/server/idle.go
+++ b/server/idle.go
@@ -40,17 +40,11 @@
 	return idle
 }
 
-// longer tells whether a connection has rested for longer than another; of two alike the older one has.
-func (g *gateway) longer(o *gateway) bool {
-	a, b := g.conn.Active(), o.conn.Active()
-	return a.Before(b) || a.Equal(b) && g.number < o.number
-}
-
 // closeIdle closes connections that are overdue or carried nothing for the time the module set, and looks again
 // later.
 func (s *Server) closeIdle() {
 	now := s.loop.Now()
-	for _, g := range s.inOrder() {
+	for g := range s.connections() {
 		switch {
 		case g.overdue(now):
 			s.count.unfinished++
@@ -80,14 +74,14 @@
 	var victim, oldest *gateway
 	best, silent := 0, 0
 	now := s.loop.Now()
-	for g := range s.gateways {
+	for g := range s.connections() { // of two alike the older one is taken
 		rank := 0
 		switch {
 		case g.conn.Closing():
 			rank = 3
 		case g.sound == 0:
 			silent++
-			if oldest == nil || g.since.Before(oldest.since) || g.since.Equal(oldest.since) && g.number < oldest.number {
+			if oldest == nil || g.since.Before(oldest.since) {
 				oldest = g
 			}
 			if now.Sub(g.since) >= freshFor {
@@ -96,11 +90,11 @@
 		case g.session.Open() == 0 && now.Sub(g.conn.Active()) >= restFor:
 			rank = 1
 		}
-		if rank > best || rank == best && rank > 0 && g.longer(victim) {
+		if rank > best || rank == best && rank > 0 && g.conn.Active().Before(victim.conn.Active()) {
 			victim, best = g, rank
 		}
 	}
-	if best < 2 && 2*silent >= len(s.gateways) {
+	if best < 2 && 2*silent >= s.gateways.Len() {
 		victim = oldest
 	} else if victim == nil || best == 1 && !victim.conn.Quiet(restFor) {
 		return false
--- a/server/server.go
+++ b/server/server.go
@@ -6,6 +6,7 @@
 package server
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"hash/maphash"
@@ -73,7 +74,7 @@
 	tap      *capture.Tap      // likewise, and until the module starts
 
 	classes, tenants map[string]int
-	gateways         map[*gateway]bool
+	gateways         list.List                      // of *gateway, in the order of accepting
 	tries            map[tillerusher.RequestID]*try // owed an answer, or running
 	byWire           map[string]*try                // the same, by Request-Id
 	keys             keyTable
@@ -116,7 +117,7 @@
 	}
 	s := &Server{cfg: cfg, told: told, log: log, loop: l, clock: newClock(l.Now()), protocol: fastcgi.New(limits),
 		classes: index(told.Classes), tenants: index(told.Tenants),
-		gateways: map[*gateway]bool{}, tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
+		tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
 		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart), sums: maphash.MakeSeed()}
 	for _, c := range told.Module.Classes {
 		s.patience = max(s.patience, c.Deadline)
@@ -180,7 +181,7 @@
 // Close gives up what a server holds.
 func (s *Server) Close() {
 	s.listener.Close()
-	for _, g := range s.inOrder() {
+	for g := range s.connections() {
 		g.conn.Close()
 	}
 	if s.link != nil {
