Let one piece serve where this change wrote copies, and drop what nothing reads

Tries of gateways are made in one place (standin.Try), as are their deadlines, what an answer means, latencies, files of the kit's commands, flags of its measurements, positions in texts and bounded numbers of records. Fields that were only written, calls that nothing made (a skewed clock, a held stream, a check at each event) and a wait within a wait are gone.

--- a/cmd/tillerkit/model.go
+++ b/cmd/tillerkit/model.go
@@ -132,18 +132,6 @@
 	return cmd
 }
 
-// create writes a file.
-func create(path string, write func(io.Writer) error) error {
-	f, err := os.Create(path)
-	if err != nil {
-		return inputError{err}
-	}
-	if err := errors.Join(write(f), f.Close()); err != nil {
-		return inputError{err}
-	}
-	return nil
-}
-
 // printRun prints the summary of a run.
 func printRun(p printer, policy string, r *model.Result) {
 	p.line("%s in %s (seed %d): %d servers, %d requests in %.0f s, load %.2f", policy, r.World, r.Seed, r.Servers, r.Requests, r.Seconds, r.Load)
--- a/cmd/tillerkit/output.go
+++ b/cmd/tillerkit/output.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"os"
 
 	"github.com/spf13/cobra"
 
@@ -80,3 +83,20 @@
 	}
 	return nil
 }
+
+// writeFile makes a file and writes it.
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+// create is writeFile for a file that the command's input names.
+func create(path string, write func(io.Writer) error) error {
+	if err := writeFile(path, write); err != nil {
+		return inputError{err}
+	}
+	return nil
+}
--- a/cmd/tillerkit/pool.go
+++ b/cmd/tillerkit/pool.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -64,12 +63,8 @@
 		p.line("%-16s in the outage: load %.3f of what is offered, %.3f of the requests served", name, load/n, served/n)
 	}
 	if out != "" {
-		f, err := os.Create(out)
-		if err != nil {
-			return inputError{err}
-		}
-		if err := errors.Join(chart.SVG(f), f.Close()); err != nil {
-			return inputError{err}
+		if err := create(out, chart.SVG); err != nil {
+			return err
 		}
 	}
 	return p.object(result)
--- a/cmd/tillerkit/recovery.go
+++ b/cmd/tillerkit/recovery.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
 	"github.com/spf13/cobra"
 
 	"tillerusher/internal/experiment"
@@ -122,16 +119,5 @@
 		}
 		chart.Lines = append(chart.Lines, l)
 	}
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	err = chart.SVG(f)
-	if other := f.Close(); err == nil {
-		err = other
-	}
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	return nil
+	return writeFile(path, chart.SVG)
 }
--- a/cmd/tillerkit/rehearse.go
+++ b/cmd/tillerkit/rehearse.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -87,12 +86,12 @@
 		return err
 	}
 	if page != "" {
-		if err := writeDay(page, s, r); err != nil {
+		if err := writeFile(page, dayPage(s, r).HTML); err != nil {
 			return err
 		}
 	}
 	printDay(p, r)
-	bad := r.BreachesN > 0 || r.Unanswered > 0 || len(r.Missed) > 0
+	bad := r.Broken() || len(r.Missed) > 0
 	if bad {
 		p.line("again: %s", again)
 	}
@@ -133,22 +132,6 @@
 	return report.Page{Title: s.Name + ", seed " + strconv.FormatUint(r.Seed, 10), Lead: s.Teaches, Sections: []report.Section{sums, incidents}}
 }
 
-// writeDay writes the page of a day.
-func writeDay(path string, s *rehearsal.Scenario, r *rehearsal.Report) error {
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	err = dayPage(s, r).HTML(f)
-	if other := f.Close(); err == nil {
-		err = other
-	}
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	return nil
-}
-
 func rehearseHuntCommand() *cobra.Command {
 	first, seeds, most, parallel, length := uint64(1), 1_000_000_000, 5, runtime.GOMAXPROCS(0), time.Minute
 	cmd := &cobra.Command{Use: "hunt", Short: "Play days that seeds draw until a rule breaks", Args: cobra.NoArgs,
--- a/cmd/tillerkit/replay.go
+++ b/cmd/tillerkit/replay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -145,12 +146,7 @@
 }
 
 func writeOutcomes(path string, m capture.Meta, outcomes []*replay.Outcome) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	err = replay.WriteOutcomes(file, m, outcomes)
-	return errors.Join(err, file.Close())
+	return writeFile(path, func(w io.Writer) error { return replay.WriteOutcomes(w, m, outcomes) })
 }
 
 func fromTo(from, to int) string {
--- a/cmd/tillerkit/statecost.go
+++ b/cmd/tillerkit/statecost.go
@@ -103,10 +103,6 @@
 	sickFlags(cmd, &c.Sick)
 	f := cmd.Flags()
 	f.Float64Var(&c.KeyedRate, "keyed-rate", c.KeyedRate, "keyed requests a second")
-	f.IntVar(&c.Gateways, "gateways", c.Gateways, "connections of lookups")
-	f.IntVar(&c.Open, "open", c.Open, "lookups that each connection keeps open")
-	f.DurationVar(&c.For, "for", c.For, "length of each round")
-	f.IntVar(&c.Rounds, "rounds", c.Rounds, "rounds of each disk")
-	f.IntVar(&c.Pin, "pin", c.Pin, "core on which the daemon is kept; -1 is any")
+	holdFlags(cmd, &c.HoldConfig, "connections of lookups", "rounds of each disk")
 	return cmd
 }
--- a/cmd/tillerkit/storm.go
+++ b/cmd/tillerkit/storm.go
@@ -129,12 +129,18 @@
 		}}
 	f := cmd.Flags()
 	f.StringVar(&c.Daemon, "daemon", "", "the daemon's program; the tillerusher beside this one if empty")
-	f.IntVar(&c.Gateways, "gateways", c.Gateways, "connections")
+	holdFlags(cmd, &c, "connections", "pairs of rounds")
+	return cmd
+}
+
+// holdFlags are the flags of a measurement at full load.
+func holdFlags(cmd *cobra.Command, c *storm.HoldConfig, gateways, rounds string) {
+	f := cmd.Flags()
+	f.IntVar(&c.Gateways, "gateways", c.Gateways, gateways)
 	f.IntVar(&c.Open, "open", c.Open, "requests that each connection keeps open")
 	f.DurationVar(&c.For, "for", c.For, "length of each round")
-	f.IntVar(&c.Rounds, "rounds", c.Rounds, "pairs of rounds")
+	f.IntVar(&c.Rounds, "rounds", c.Rounds, rounds)
 	f.IntVar(&c.Pin, "pin", c.Pin, "core on which the daemon is kept; -1 is any")
-	return cmd
 }
 
 // progress shows a bar of requests on a terminal, and nothing elsewhere.
--- a/internal/durable/learned.go
+++ b/internal/durable/learned.go
@@ -66,15 +66,7 @@
 }
 
 // wide reads a number that is no length.
-func (r *reader) wide() uint64 {
-	n, size := binary.Uvarint(r.b)
-	if size <= 0 || n > mostMicroseconds {
-		r.bad = true
-		return 0
-	}
-	r.b = r.b[size:]
-	return n
-}
+func (r *reader) wide() uint64 { return r.upTo(mostMicroseconds) }
 
 // mostMicroseconds are the most that a time.Duration holds.
 const mostMicroseconds = math.MaxInt64 / 1000
--- a/internal/durable/record.go
+++ b/internal/durable/record.go
@@ -160,9 +160,13 @@
 	bad bool
 }
 
-func (r *reader) number() uint64 {
+// number reads a number or a length.
+func (r *reader) number() uint64 { return r.upTo(maxRecord) }
+
+// upTo reads a number of so much at the most.
+func (r *reader) upTo(most uint64) uint64 {
 	n, size := binary.Uvarint(r.b)
-	if size <= 0 || n > maxRecord {
+	if size <= 0 || n > most {
 		r.bad = true
 		return 0
 	}
--- a/internal/nginx/lex.go
+++ b/internal/nginx/lex.go
@@ -46,11 +46,7 @@
 func (l *lexer) step() rune {
 	r, n := utf8.DecodeRuneInString(l.text)
 	l.text = l.text[n:]
-	if r == '\n' {
-		l.at.Line, l.at.Column = l.at.Line+1, 1
-	} else {
-		l.at.Column++
-	}
+	l.at.Pass(r)
 	return r
 }
 
--- a/internal/rehearsal/gateway.go
+++ b/internal/rehearsal/gateway.go
@@ -25,23 +25,18 @@
 
 // request is what a caller wants.
 type request struct {
-	number int
 	key    string // of a keyed one
 	tenant string
 	body   []byte
 	came   time.Duration
 	tries  int
 	served bool
-	repeat bool // it came again after it was served
-	over   bool // its last try is answered, lost or not made
 }
 
 // try is one try of a request.
 type try struct {
 	id      string
 	request *request
-	from    *gateway
-	at      *node
 	sent    time.Duration
 	life    int // of the node
 }
@@ -102,7 +97,7 @@
 		}
 		c.gateway.lost(t)
 	}
-	c.open = map[uint16]*try{}
+	clear(c.open)
 	if !c.gateway.run.over {
 		c.gateway.run.world.After(redial, c.dial)
 	}
@@ -180,29 +175,26 @@
 		return
 	}
 	g.run.tries++
-	t := &try{id: fmt.Sprintf("%016x", g.run.tries), request: r, from: g, at: c.node, sent: w.Elapsed(), life: c.node.life}
+	t := &try{id: fmt.Sprintf("%016x", g.run.tries), request: r, sent: w.Elapsed(), life: c.node.life}
 	id := c.free[len(c.free)-1]
 	c.free = c.free[:len(c.free)-1]
 	c.open[id] = t
-	limit := standin.LookupDeadline
-	q := standin.Request{Method: "POST", Path: "/v1/part-lookup", Body: r.body, Fields: map[string]string{"Request-Id": t.id,
-		"Received-At": strconv.FormatInt(w.Now().UnixMilli(), 10), "Sent-By": "1", "Account": r.tenant, "Work-Estimate": "12.50", "Footprint-Kb": "24.5",
-		"Priority-Rank": "0.6250"}}
-	if r.key != "" {
-		q.Path, q.Fields["Once-Key"], limit = "/v1/stock-reserve", r.key, standin.ReserveDeadline
-	}
+	q := standin.Try(t.id, r.key, w.Now(), r.body)
+	q.Fields["Account"] = r.tenant
 	if r.tries > 1 {
 		q.Fields["Attempt-Again"] = "1"
 	}
-	told := rules.Try{ID: t.id, Once: r.key != "", Result: string(standin.Result(r.body)), Received: w.Now(), Due: w.Now().Add(limit + answerSlack)}
-	if r.key != "" {
+	keyed := r.key != ""
+	told := rules.Try{ID: t.id, Once: keyed, Result: string(standin.Result(r.body)), Received: w.Now(),
+		Due: w.Now().Add(standin.Deadline(keyed) + answerSlack)}
+	if keyed {
 		told.Key = fmt.Sprintf("%s at %s, life %d", r.key, c.node.name(), c.node.life)
 	}
 	g.run.observer.Sent(told)
 	g.run.open[t.id] = t
 	g.run.report.Tries++
 	c.stream.Write(q.Records(id))
-	if r.key != "" && g.rng.Float64() < g.run.scenario.Hedges {
+	if keyed && g.rng.Float64() < g.run.scenario.Hedges {
 		w.After(time.Duration(g.rng.Int64N(int64(100*time.Millisecond))), func() {
 			if c.open[id] == t && !g.run.over {
 				r.tries--
@@ -211,7 +203,7 @@
 		})
 	}
 	if g.rng.Float64() < g.run.scenario.Aborts {
-		g.run.world.After(time.Duration(g.rng.Int64N(int64(200*time.Millisecond))), func() {
+		w.After(time.Duration(g.rng.Int64N(int64(200*time.Millisecond))), func() {
 			if c.open[id] == t {
 				c.stream.Write(standin.Record(standin.Abort, id, nil, 0))
 			}
@@ -243,13 +235,7 @@
 // answered takes in an answer, and decides whether a further try follows.
 func (g *gateway) answered(t *try, a standin.Answer, at time.Time) {
 	r := t.request
-	kind := rules.Failed
-	switch {
-	case a.Status == 200:
-		kind = rules.Served
-	case a.Status == 429 || a.Status == 503 || a.Protocol != 0:
-		kind = rules.Refused
-	}
+	kind := a.Outcome()
 	g.run.observer.Answered(t.id, kind, string(a.Body), at)
 	delete(g.run.open, t.id)
 	switch kind {
@@ -259,7 +245,6 @@
 	case rules.Refused:
 		g.run.report.Refused++
 		if a.Header.Get("Final-Refusal") != "" {
-			r.over = true
 			return
 		}
 		wait := g.run.scenario.Pause
@@ -269,10 +254,8 @@
 		g.again(r, wait)
 	default:
 		g.run.report.Failed++
-		if r.key == "" {
+		if r.key == "" { // of a keyed one it is not known whether it ran, and the caller is told so
 			g.again(r, g.run.scenario.Pause)
-		} else {
-			r.over = true // whether it ran is not known, and the caller is told so
 		}
 	}
 }
@@ -287,12 +270,7 @@
 
 // again makes a further try after a while, where the caller still waits.
 func (g *gateway) again(r *request, wait time.Duration) {
-	limit := standin.LookupDeadline
-	if r.key != "" {
-		limit = standin.ReserveDeadline
-	}
-	if r.tries >= g.run.scenario.Tries || g.run.world.Elapsed()+wait-r.came > limit || g.run.over {
-		r.over = true
+	if r.tries >= g.run.scenario.Tries || g.run.world.Elapsed()+wait-r.came > standin.Deadline(r.key != "") || g.run.over {
 		return
 	}
 	g.run.world.After(wait, func() {
--- a/internal/rehearsal/hunt.go
+++ b/internal/rehearsal/hunt.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -34,8 +35,8 @@
 	return &s
 }
 
-// broken tells whether a day broke a rule.
-func (r *Report) broken() bool { return r.BreachesN > 0 || r.Unanswered > 0 }
+// Broken tells whether a day broke a rule.
+func (r *Report) Broken() bool { return r.BreachesN > 0 || r.Unanswered > 0 }
 
 // Finding is a seed whose day broke a rule.
 type Finding struct {
@@ -93,7 +94,7 @@
 		}()
 	}
 	all.Wait()
-	slices.SortFunc(h.Found, func(a, b Finding) int { return int(int64(a.Seed - b.Seed)) })
+	slices.SortFunc(h.Found, func(a, b Finding) int { return cmp.Compare(a.Seed, b.Seed) })
 	return h, failed
 }
 
@@ -103,7 +104,7 @@
 	h.Requests, h.Tries, h.Runs = h.Requests+r.Requests, h.Tries+r.Tries, h.Runs+r.Runs
 	h.Served, h.Refused, h.Failed, h.Lost = h.Served+r.Served, h.Refused+r.Refused, h.Failed+r.Failed, h.Lost+r.Lost
 	h.World.Add(r.World)
-	if r.broken() {
+	if r.Broken() {
 		h.Found = append(h.Found, Finding{seed, r})
 	}
 }
@@ -113,7 +114,7 @@
 func Shrink(s *Scenario, seed uint64) (*Scenario, error) {
 	breaks := func(c *Scenario) (bool, error) {
 		r, err := Run(c, seed)
-		return err == nil && r.broken(), err
+		return err == nil && r.Broken(), err
 	}
 	small := *s
 	for again := true; again; {
--- a/internal/rehearsal/probe.go
+++ b/internal/rehearsal/probe.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"strconv"
 
 	"tillerusher/internal/simos"
 	"tillerusher/internal/standin"
@@ -35,16 +34,14 @@
 
 // Connected implements simos.Actor.
 func (p *probe) Connected() {
-	for id, path := range []string{"/v1/part-lookup", "/v1/stock-reserve"} {
+	for _, keyed := range []bool{false, true} {
 		p.run.tries++
-		q := standin.Request{Method: "POST", Path: path, Body: standin.WorkBody("probe", 0), Fields: map[string]string{
-			"Request-Id": fmt.Sprintf("%016x", p.run.tries), "Received-At": strconv.FormatInt(p.run.world.Now().UnixMilli(), 10), "Sent-By": "1",
-			"Account": "central", "Work-Estimate": "12.50", "Footprint-Kb": "24.5", "Priority-Rank": "0.6250"}}
-		if id == 1 {
-			q.Fields["Once-Key"] = fmt.Sprintf("%032x", p.run.tries)
+		id, key, stream := fmt.Sprintf("%016x", p.run.tries), "", uint16(1)
+		if keyed {
+			key, stream = fmt.Sprintf("%032x", p.run.tries), 2
 		}
-		p.run.probes[q.Fields["Request-Id"]] = true
-		p.stream.Write(q.Records(uint16(id + 1)))
+		p.run.probes[id] = true
+		p.stream.Write(standin.Try(id, key, p.run.world.Now(), standin.WorkBody("probe", 0)).Records(stream))
 	}
 }
 
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -59,7 +59,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if r.broken() || len(r.Missed) > 0 {
+		if r.Broken() || len(r.Missed) > 0 {
 			t.Errorf("%s: %v %v, %d unanswered", s.Name, r.Breaches, r.Missed, r.Unanswered)
 		}
 	}
@@ -87,7 +87,7 @@
 	s := Draw(262)
 	s.Calm = time.Second
 	r, err := Run(s, 262)
-	if err != nil || r.broken() {
+	if err != nil || r.Broken() {
 		t.Errorf("%v, %v", r, err)
 	}
 }
@@ -96,7 +96,7 @@
 // counted as lost as well, and told to the module as gone.
 func TestLostAfterAnswer(t *testing.T) {
 	r, err := Run(Draw(346), 346)
-	if err != nil || r.broken() {
+	if err != nil || r.Broken() {
 		t.Errorf("%+v, %v", r, err)
 	}
 }
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -103,19 +103,21 @@
 		r.plan(i)
 	}
 	r.world.After(warm, r.arrive)
-	r.world.Run(warm+s.Length, nil)
-	r.world.Run(warm+s.Length+standin.ReserveDeadline, nil)
+	end := warm + s.Length + standin.ReserveDeadline
+	r.world.Run(end)
 	r.over = true
-	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm, nil)
+	end += s.Calm
+	r.world.Run(end)
 	probes := r.probe()
-	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm+probeFor, nil)
+	end += probeFor
+	r.world.Run(end)
 	for _, p := range probes {
 		p.judge()
 	}
 	for _, n := range r.nodes {
 		n.leave(nil)
 	}
-	r.world.Run(warm+s.Length+standin.ReserveDeadline+s.Calm+probeFor+settleFor, nil)
+	r.world.Run(end + settleFor)
 	return r.finish(), nil
 }
 
@@ -151,14 +153,15 @@
 	if r.world.Elapsed() >= warm+r.scenario.Length {
 		return
 	}
-	q := &request{number: len(r.requests), tenant: "central", came: r.world.Elapsed()}
+	number := len(r.requests)
+	q := &request{tenant: "central", came: r.world.Elapsed()}
 	if r.rng.Float64() < 0.3 {
 		q.tenant = "northern"
 	}
 	if r.rng.Float64() < r.scenario.Keyed {
-		q.key = fmt.Sprintf("%016x%016x", r.rng.Uint64(), q.number)
+		q.key = fmt.Sprintf("%016x%016x", r.rng.Uint64(), number)
 	}
-	q.body = standin.WorkBody(fmt.Sprint(q.number), time.Duration(r.rng.ExpFloat64()*float64(r.scenario.Work)))
+	q.body = standin.WorkBody(fmt.Sprint(number), time.Duration(r.rng.ExpFloat64()*float64(r.scenario.Work)))
 	r.requests = append(r.requests, q)
 	r.second(q).Requests++
 	r.gateways[r.rng.IntN(len(r.gateways))].send(q)
@@ -180,7 +183,6 @@
 		r.world.After(time.Duration(r.rng.Int64N(int64(2*time.Second))), func() {
 			if !r.over {
 				q.tries--
-				q.repeat = true
 				r.gateways[r.rng.IntN(len(r.gateways))].send(q)
 			}
 		})
@@ -188,7 +190,7 @@
 	if q.served {
 		return
 	}
-	q.served, q.over = true, true
+	q.served = true
 	r.second(q).Served++
 	r.latency.RecordValue(min(max((r.world.Elapsed()-q.came).Microseconds(), 1), time.Minute.Microseconds()))
 }
--- a/internal/sexp/parse.go
+++ b/internal/sexp/parse.go
@@ -16,6 +16,15 @@
 // String is the place as editors read it.
 func (p Pos) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column) }
 
+// Pass goes behind a character.
+func (p *Pos) Pass(r rune) {
+	if r == '\n' {
+		p.Line, p.Column = p.Line+1, 1
+	} else {
+		p.Column++
+	}
+}
+
 // Error is what is wrong at a place.
 type Error struct {
 	At   Pos
@@ -129,11 +138,7 @@
 func (p *parser) step() rune {
 	r, n := utf8.DecodeRune(p.text)
 	p.text = p.text[n:]
-	if r == '\n' {
-		p.at.Line, p.at.Column = p.at.Line+1, 1
-	} else {
-		p.at.Column++
-	}
+	p.at.Pass(r)
 	return r
 }
 
--- a/internal/simos/process.go
+++ b/internal/simos/process.go
@@ -42,7 +42,6 @@
 	cancel                        func() // of the end of the wait
 	free                          time.Duration
 	paused                        time.Duration
-	skew                          time.Duration
 	err                           error
 }
 
@@ -129,9 +128,6 @@
 	p.paused = max(p.paused, p.world.now+length)
 }
 
-// Skew sets the program's clock off the true one.
-func (p *Process) Skew(by time.Duration) { p.skew = by }
-
 // Ended tells whether the program has ended, and how.
 func (p *Process) Ended() (ended bool, err error) { return p.ended || p.dead, p.err }
 
@@ -164,7 +160,7 @@
 }
 
 // Now implements loop.System.
-func (p *Process) Now() time.Time { return p.world.Now().Add(p.skew) }
+func (p *Process) Now() time.Time { return p.world.Now() }
 
 // EpollCreate implements loop.System.
 func (p *Process) EpollCreate() (int, error) {
@@ -217,12 +213,11 @@
 	}
 	p.world.Count.Rounds++
 	p.free = p.world.now + roundCost
-	if n := p.look(f.epoll, events); ms == 0 || n > 0 && p.world.now >= p.paused {
-		// Even a round that waits for nothing takes its time.
-		p.rest(roundCost)
-		return p.look(f.epoll, events), nil
+	wait := time.Duration(ms) * time.Millisecond
+	if ms == 0 || p.world.now >= p.paused && p.look(f.epoll, events) > 0 {
+		wait = roundCost // even a round that waits for nothing takes its time
 	}
-	p.rest(time.Duration(ms) * time.Millisecond)
+	p.rest(wait)
 	return p.look(f.epoll, events), nil
 }
 
--- a/internal/simos/socket.go
+++ b/internal/simos/socket.go
@@ -28,7 +28,6 @@
 	world   *World
 	process *Process // nil is an actor's
 	actor   Actor
-	stream  *Stream // of an actor
 	local   netip.AddrPort
 	remote  netip.AddrPort
 	peer    *socket
@@ -254,8 +253,7 @@
 				s.ready()
 			})
 			if l.accepting != nil {
-				far.stream = &Stream{far}
-				far.actor = l.accepting(far.stream)
+				far.actor = l.accepting(&Stream{far})
 				return
 			}
 			l.backlog = append(l.backlog, far)
@@ -281,9 +279,8 @@
 func (w *World) Dial(from netip.Addr, to netip.AddrPort, a Actor) *Stream {
 	w.ports++
 	s := &socket{world: w, actor: a, local: netip.AddrPortFrom(from, w.ports)}
-	s.stream = &Stream{s}
 	s.connect(to)
-	return s.stream
+	return &Stream{s}
 }
 
 // Listen has an actor made for each stream that comes.
@@ -349,13 +346,6 @@
 // Reset breaks the stream.
 func (t *Stream) Reset() { t.s.reset() }
 
-// Hold has the actor not read until it is let go, as a peer that stands still.
-func (t *Stream) Hold(hold bool) {
-	if t.s.held = hold; !hold {
-		t.s.ready()
-	}
-}
-
 // Trickle has the actor read so many bytes at a time, once every while.
 func (t *Stream) Trickle(bytes int, every time.Duration) {
 	t.s.slow, t.s.held = bytes, true
@@ -371,6 +361,3 @@
 	}
 	t.s.world.After(every, next)
 }
-
-// Closed tells whether this end is closed.
-func (t *Stream) Closed() bool { return t.s.closed }
--- a/internal/simos/world.go
+++ b/internal/simos/world.go
@@ -89,8 +89,8 @@
 	return func() { e.fire = nil }
 }
 
-// Run has all happen that does until a time since the beginning, and calls check after each event until that tells to stop.
-func (w *World) Run(until time.Duration, check func() (goOn bool)) {
+// Run has all happen that does until a time since the beginning.
+func (w *World) Run(until time.Duration) {
 	for len(w.queue) > 0 && w.queue[0].at <= until {
 		e := heap.Pop(&w.queue).(*event)
 		if e.fire == nil {
@@ -99,9 +99,6 @@
 		w.now = e.at
 		w.Count.Events++
 		e.fire()
-		if check != nil && !check() {
-			return
-		}
 	}
 	w.now = max(w.now, until)
 }
--- a/internal/standin/requests.go
+++ b/internal/standin/requests.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"tillerusher/internal/rules"
 )
 
 // tries numbers the requests of a process.
@@ -21,19 +23,44 @@
 
 // Lookup is a request of the safe class, just arrived.
 func Lookup(body string) Request {
-	return Request{Method: "POST", Path: "/v1/part-lookup", Body: []byte(body), Fields: map[string]string{
-		"Request-Id": fmt.Sprintf("%016x", tries.Add(1)), "Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10),
-		"Sent-By": "1", "Account": "central", "Work-Estimate": "12.50", "Footprint-Kb": "24.5", "Priority-Rank": "0.6250"}}
+	return Try(fmt.Sprintf("%016x", tries.Add(1)), "", time.Now(), []byte(body))
 }
 
-// Reserve is a try of the keyed class; the number names the request.
+// Reserve is a try of the keyed class, just arrived; the number names the request.
 func Reserve(number int, body string) Request {
-	r := Lookup(body)
-	r.Path = "/v1/stock-reserve"
-	r.Fields["Once-Key"] = fmt.Sprintf("%032x", number)
+	return Try(fmt.Sprintf("%016x", tries.Add(1)), fmt.Sprintf("%032x", number), time.Now(), []byte(body))
+}
+
+// Try is a try that a gateway received at a time: of the keyed class where it has a key.
+func Try(id, key string, received time.Time, body []byte) Request {
+	r := Request{Method: "POST", Path: "/v1/part-lookup", Body: body, Fields: map[string]string{
+		"Request-Id": id, "Received-At": strconv.FormatInt(received.UnixMilli(), 10),
+		"Sent-By": "1", "Account": "central", "Work-Estimate": "12.50", "Footprint-Kb": "24.5", "Priority-Rank": "0.6250"}}
+	if key != "" {
+		r.Path, r.Fields["Once-Key"] = "/v1/stock-reserve", key
+	}
 	return r
 }
 
+// Deadline is how long after it was received a try has to be answered.
+func Deadline(keyed bool) time.Duration {
+	if keyed {
+		return ReserveDeadline
+	}
+	return LookupDeadline
+}
+
+// Outcome is what an answer means to the caller.
+func (a Answer) Outcome() rules.Answer {
+	switch {
+	case a.Status == 200:
+		return rules.Served
+	case a.Status == 429 || a.Status == 503 || a.Protocol != 0:
+		return rules.Refused
+	}
+	return rules.Failed
+}
+
 // ID is the request's Request-Id.
 func (r Request) ID() string { return r.Fields["Request-Id"] }
 
--- a/internal/storm/gateway.go
+++ b/internal/storm/gateway.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"tillerusher/internal/rules"
 	"tillerusher/internal/standin"
 )
 
@@ -112,14 +111,3 @@
 		g.conn.Close()
 	}
 }
-
-// answerOf turns an answer into what the observer knows.
-func answerOf(a standin.Answer) rules.Answer {
-	switch {
-	case a.Status == 200:
-		return rules.Served
-	case a.Status == 429 || a.Status == 503 || a.Protocol != 0:
-		return rules.Refused
-	}
-	return rules.Failed
-}
--- a/internal/storm/hold.go
+++ b/internal/storm/hold.go
@@ -24,14 +24,12 @@
 	P999    float64 `json:"p999_ms"`
 	CPU     float64 `json:"cpu_us"` // of the daemon, for each answer
 	Lost    float64 `json:"lost"`   // records that were not captured
-
-	all *hdrhistogram.Histogram
 }
 
 // fill computes what is told of latencies.
 func (l *Load) fill(h *hdrhistogram.Histogram, over time.Duration) {
 	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
-	l.all, l.Rate, l.P50, l.P99, l.P999 = h, float64(h.TotalCount())/over.Seconds(), ms(50), ms(99), ms(99.9)
+	l.Rate, l.P50, l.P99, l.P999 = float64(h.TotalCount())/over.Seconds(), ms(50), ms(99), ms(99.9)
 }
 
 // Cost compares loads with the capture on and off that were taken in turn.
@@ -119,7 +117,7 @@
 	d.interpreter.Instant()
 	end := time.Now().Add(c.For)
 	var mu sync.Mutex
-	all, errs := hdrhistogram.New(1, longest.Microseconds(), 3), []error(nil)
+	all, errs := newLatencies(), []error(nil)
 	var callers sync.WaitGroup
 	call := func(work func() error) {
 		callers.Add(1)
@@ -170,7 +168,7 @@
 		return nil, err
 	}
 	defer g.Close()
-	h := hdrhistogram.New(1, longest.Microseconds(), 3)
+	h := newLatencies()
 	sent := make([]time.Time, open+1)
 	send := func(id uint16) error {
 		sent[id] = time.Now()
@@ -187,7 +185,7 @@
 			return nil, err
 		}
 		now := time.Now()
-		h.RecordValue(min(max(now.Sub(sent[a.ID]).Microseconds(), 1), longest.Microseconds()))
+		record(h, now.Sub(sent[a.ID]))
 		if now.Before(end) {
 			if err := send(a.ID); err != nil {
 				return nil, err
--- a/internal/storm/statecost.go
+++ b/internal/storm/statecost.go
@@ -116,7 +116,7 @@
 	out := &StateLoad{Disk: disk}
 	served := 0
 	lookups, d, err := hold(c.HoldConfig, args, func(d *daemon, end time.Time) error {
-		k := paced{rate: c.KeyedRate, h: hdrhistogram.New(1, longest.Microseconds(), 3)}
+		k := paced{rate: c.KeyedRate, h: newLatencies()}
 		err := k.run(d.addr, end)
 		out.Keyed.fill(k.h, c.For)
 		served, out.Refused = k.served, int(k.h.TotalCount())-k.served
@@ -136,9 +136,8 @@
 
 // paced sends keyed requests at a rate on one connection.
 type paced struct {
-	rate float64
-	h    *hdrhistogram.Histogram
-
+	rate   float64
+	h      *hdrhistogram.Histogram
 	served int
 }
 
@@ -165,7 +164,7 @@
 				return
 			}
 			mu.Lock()
-			p.h.RecordValue(min(max(now.Sub(intended[a.ID]).Microseconds(), 1), longest.Microseconds()))
+			record(p.h, now.Sub(intended[a.ID]))
 			if a.Status == 200 {
 				p.served++
 			}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -120,6 +120,13 @@
 	return x
 }
 
+// newLatencies is an empty histogram of times, and record adds one to it.
+func newLatencies() *hdrhistogram.Histogram { return hdrhistogram.New(1, longest.Microseconds(), 3) }
+
+func record(h *hdrhistogram.Histogram, took time.Duration) {
+	h.RecordValue(min(max(took.Microseconds(), 1), longest.Microseconds())) // it has room for all of these
+}
+
 // Run plays a storm to its end, or until the context ends it sooner; the daemon is drained either way.
 func Run(ctx context.Context, c Config) (*Result, error) {
 	if err := c.Check(); err != nil {
@@ -131,7 +138,7 @@
 	}
 	defer d.kill()
 	s := &storm{cfg: c, daemon: d, observer: rules.New(standin.Window), rng: rand.New(rand.NewPCG(c.Seed, 0)),
-		latency: hdrhistogram.New(1, longest.Microseconds(), 3)}
+		latency: newLatencies()}
 	s.result.Seed = c.Seed
 	d.interpreter.OnApply(func(a standin.Apply) { s.observer.Ran(a.ID) })
 	for range c.Gateways {
@@ -263,12 +270,8 @@
 
 // records is a try as it is written.
 func (s *storm) records(t *try, id uint16) []byte {
-	r := standin.Lookup(string(t.request.body))
-	if t.request.key != "" {
-		r = standin.Reserve(0, string(t.request.body)).With("Once-Key", t.request.key)
-	}
-	r.Fields["Request-Id"], r.Fields["Account"] = t.id, t.request.tenant
-	r.Fields["Received-At"] = strconv.FormatInt(t.received.UnixMilli(), 10)
+	r := standin.Try(t.id, t.request.key, t.received, t.request.body)
+	r.Fields["Account"] = t.request.tenant
 	if t.number > 1 {
 		r.Fields["Attempt-Again"] = "1"
 	}
@@ -277,17 +280,14 @@
 
 // told is a try as the observer is told of it.
 func (s *storm) told(t *try) rules.Try {
-	limit := standin.LookupDeadline
-	if t.request.key != "" {
-		limit = standin.ReserveDeadline
-	}
-	return rules.Try{ID: t.id, Key: t.request.key, Once: t.request.key != "", Received: t.received,
-		Result: string(standin.Result(t.request.body)), Due: t.received.Add(limit + answerSlack)}
+	keyed := t.request.key != ""
+	return rules.Try{ID: t.id, Key: t.request.key, Once: keyed, Received: t.received, Result: string(standin.Result(t.request.body)),
+		Due: t.received.Add(standin.Deadline(keyed) + answerSlack)}
 }
 
 // answered takes in an answer and decides whether a further try follows.
 func (s *storm) answered(t *try, a standin.Answer, now time.Time) {
-	kind := answerOf(a)
+	kind := a.Outcome()
 	s.observer.Answered(t.id, kind, string(a.Body), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -301,7 +301,7 @@
 			if s.cfg.Restart {
 				s.step(r.first).Served++
 			}
-			s.latency.RecordValue(min(max(now.Sub(r.first).Microseconds(), 1), longest.Microseconds()))
+			record(s.latency, now.Sub(r.first))
 		}
 		if r.key != "" && s.rng.Float64() < s.cfg.Repeat && !s.ended {
 			s.result.Repeats++
