Let reads share an answer only where they ask for the same, and only while it is fresh

At fault: read in server/try.go named a read's entry by class and Resource-Key alone, so a read was answered with what the interpreter had made for another body; and keyTable.find took the holder of a read until its due time and fresh-ns together, however long ago it had ended, and also where it had ended badly, which WIRE excludes. Mend: the entry is named by class, subject and the sum of the body; find wants the run under way, or ended well no longer than fresh-ns ago.

--- a/server/guard_test.go
+++ b/server/guard_test.go
@@ -31,7 +31,7 @@
 	}
 	t.Cleanup(l.Close)
 	session := &quiet{}
-	s := &Server{log: zap.NewNop(), loop: l, clock: newClock(l.Now()), told: testTold(t), keys: newKeyTable(1 << 20),
+	s := &Server{log: zap.NewNop(), loop: l, clock: newClock(l.Now()), told: testTold(t), keys: newKeyTable(1<<20, 0),
 		tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{}}
 	s.link = interpreter{&interp.Dialer{Link: interp.NewLink(s)}, s.told}
 	g := &gateway{server: s, session: session, tries: map[front.Stream]*try{}}
--- a/server/keys.go
+++ b/server/keys.go
@@ -41,20 +41,24 @@
 	bytes   int // of the results kept
 	limit   int
 	dropped uint64
+	fresh   time.Duration // how long after its end the answer to a read may serve others
 }
 
-// newKeyTable returns an empty table that keeps results of so many bytes.
-func newKeyTable(limit int) keyTable {
-	return keyTable{entries: map[keyID]*entry{}, holders: map[tillerusher.RequestID]*try{}, limit: limit}
+// newKeyTable returns an empty table that keeps results of so many bytes, and those of reads for so long.
+func newKeyTable(limit int, fresh time.Duration) keyTable {
+	return keyTable{entries: map[keyID]*entry{}, holders: map[tillerusher.RequestID]*try{}, limit: limit, fresh: fresh}
 }
 
 // find returns the try that a new arrival repeats, or nil: the one kept, or, where the module's entry ran out
-// since the arrival, the one that was run.
-func (k *keyTable) find(t *try) *try {
+// since the arrival, the one that was run. A read takes its answer from another that is under way, or that ended
+// well no longer ago than answers stay fresh.
+func (k *keyTable) find(t *try, now time.Duration) *try {
 	e := k.entries[t.key]
 	switch {
 	case e == nil:
 		return nil
+	case e.holder != nil && !t.once && (e.holder.state == broken || e.holder.state == done && now-e.holder.ended > k.fresh):
+		return nil
 	case e.holder != nil && t.arrived <= e.until:
 		return e.holder
 	case k.hasRun(t):
--- a/server/keys_test.go
+++ b/server/keys_test.go
@@ -22,16 +22,16 @@
 // TestKeysFind covers who is found under a key: the holder while it is kept, then the try that was run, for
 // arrivals within the time only, whenever they are read.
 func TestKeysFind(t *testing.T) {
-	k := newKeyTable(1 << 20)
+	k := newKeyTable(1<<20, 0)
 	a := keyedTry(1, "k", time.Second)
 	k.keep(a, 10*time.Second)
-	if k.find(keyedTry(99, "k", 10*time.Second)) != a || k.find(&try{key: keyID{0, "k"}}) != nil || k.find(keyedTry(99, "j", 0)) != nil {
+	if k.find(keyedTry(99, "k", 10*time.Second), 0) != a || k.find(&try{key: keyID{0, "k"}}, 0) != nil || k.find(keyedTry(99, "j", 0), 0) != nil {
 		t.Error("a kept try is found by its key and class alone")
 	}
-	if k.find(keyedTry(99, "k", 10*time.Second+1)) != nil {
+	if k.find(keyedTry(99, "k", 10*time.Second+1), 0) != nil {
 		t.Error("an entry that ran out was found")
 	}
-	if !k.claim(a, window) || k.find(keyedTry(99, "k", 19*time.Second)) != a || k.find(keyedTry(99, "k", 19*time.Second+1)) != nil {
+	if !k.claim(a, window) || k.find(keyedTry(99, "k", 19*time.Second), 0) != a || k.find(keyedTry(99, "k", 19*time.Second+1), 0) != nil {
 		t.Error("a try that was run is found until its window is over")
 	}
 	if k.claim(keyedTry(2, "k", 19*time.Second), window) {
@@ -48,13 +48,13 @@
 // TestKeysClockSetBack has the Unix clock set back by a minute after a run, while the module's goes on: the
 // window is one of the Unix clock.
 func TestKeysClockSetBack(t *testing.T) {
-	k := newKeyTable(1 << 20)
+	k := newKeyTable(1<<20, 0)
 	a := keyedTry(1, "k", time.Hour)
 	k.claim(a, window)
 	k.sweep(time.Hour+time.Minute, at(time.Hour), 0)
 	b := keyedTry(2, "k", time.Hour+time.Minute)
 	b.stamp = a.stamp.Add(time.Second)
-	if k.find(b) != a || k.claim(b, window) {
+	if k.find(b, 0) != a || k.claim(b, window) {
 		t.Error("a request ran again within its window")
 	}
 }
@@ -62,30 +62,30 @@
 // TestKeysForget gives a key free that its holder never used, and keeps one that was run. The holder may have
 // been answered before: then no other table knows it.
 func TestKeysForget(t *testing.T) {
-	k := newKeyTable(1 << 20)
+	k := newKeyTable(1<<20, 0)
 	a, b := keyedTry(1, "k", 0), keyedTry(2, "k", 0)
 	a.answered = true
 	k.keep(a, time.Minute)
 	k.forget(a.id)
-	if k.find(keyedTry(99, "k", 0)) != nil || len(k.entries) != 0 || len(k.holders) != 0 {
+	if k.find(keyedTry(99, "k", 0), 0) != nil || len(k.entries) != 0 || len(k.holders) != 0 {
 		t.Error("a forgotten key was found")
 	}
 	k.keep(a, time.Minute)
 	k.keep(b, time.Minute) // the entry goes to the newer try
 	k.forget(a.id)
-	if k.find(keyedTry(99, "k", 0)) != b {
+	if k.find(keyedTry(99, "k", 0), 0) != b {
 		t.Error("the key was taken from another holder")
 	}
 	k.claim(b, window)
 	k.forget(b.id)
-	if k.find(keyedTry(99, "k", 0)) != b || k.claim(keyedTry(3, "k", 0), window) {
+	if k.find(keyedTry(99, "k", 0), 0) != b || k.claim(keyedTry(3, "k", 0), window) {
 		t.Error("a try that was run was forgotten")
 	}
 }
 
 // TestKeysResults gives up the oldest results over the limit, but not what they were the results of.
 func TestKeysResults(t *testing.T) {
-	k := newKeyTable(25)
+	k := newKeyTable(25, 0)
 	tries := map[string]*try{}
 	for i, key := range []string{"a", "b", "c"} {
 		r := keyedTry(i+1, key, time.Duration(i)*time.Second)
@@ -118,7 +118,7 @@
 // TestKeyUsedAnew has a key used again after its window, for a run that turns out not to have happened: late tries of the run
 // before it are still known.
 func TestKeyUsedAnew(t *testing.T) {
-	k := newKeyTable(1000)
+	k := newKeyTable(1000, 0)
 	first, anew, late := keyedTry(1, "a", 0), keyedTry(2, "a", window+time.Second), keyedTry(3, "a", window-time.Second)
 	if !k.claim(first, window) || !k.claim(anew, window) {
 		t.Fatal("a run within no window was held up")
@@ -138,7 +138,7 @@
 // table holds nothing for ever.
 func TestKeysModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := newKeyTable(200)
+		k := newKeyTable(200, 0)
 		now, ids := time.Duration(0), 0
 		ran := map[string]time.Duration{} // arrival of the latest run
 		var tries []*try
--- a/server/requests.go
+++ b/server/requests.go
@@ -77,7 +77,7 @@
 	if !t.keyed {
 		return nil
 	}
-	if t.repeats = s.keys.find(t); t.repeats != nil && t.repeats.sum != t.sum {
+	if t.repeats = s.keys.find(t, now); t.repeats != nil && t.repeats.sum != t.sum {
 		return errors.New("field Once-Key is that of a request with another body")
 	}
 	return nil
@@ -119,7 +119,7 @@
 	s.count.ended++
 	switch end {
 	case interp.EndOK:
-		t.state = done
+		t.state, t.ended = done, s.clock.now
 		if t.keyed {
 			s.keys.store(t, result)
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -118,7 +118,7 @@
 	s := &Server{cfg: cfg, told: told, log: log, loop: l, clock: newClock(l.Now()), protocol: fastcgi.New(limits),
 		classes: index(told.Classes), tenants: index(told.Tenants),
 		tries: map[tillerusher.RequestID]*try{}, byWire: map[string]*try{},
-		keys: newKeyTable(cfg.Limits.MemoryMB << 20 / resultPart), sums: maphash.MakeSeed()}
+		keys: newKeyTable(cfg.Limits.MemoryMB<<20/resultPart, told.Module.Fresh), sums: maphash.MakeSeed()}
 	for _, c := range told.Module.Classes {
 		s.patience = max(s.patience, c.Deadline)
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -26,11 +26,17 @@
 
 // run starts a server with an interpreter, which serves when it returns, and drains it with the test.
 func run(t *testing.T) (*Server, *testkit.Interpreter) {
+	t.Helper()
+	return runAt(t, testTold(t))
+}
+
+// runAt is run at a site.
+func runAt(t *testing.T, told *settings.Told) (*Server, *testkit.Interpreter) {
 	t.Helper()
 	it := testkit.NewInterpreter(t)
 	cfg := &config.Config{Name: "n3", Listen: netip.MustParseAddrPort(testkit.FreeAddr(t)),
 		Interpreter: netip.MustParseAddrPort(it.Addr()), Announce: netip.MustParseAddrPort("127.0.0.1:9"),
-		Stop: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, Settings: testTold(t)}
+		Stop: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, Settings: told}
 	s, err := New(cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
--- a/server/try.go
+++ b/server/try.go
@@ -38,13 +38,14 @@
 	repeats  *try
 	answered bool // no answer is owed any more
 	state    progress
-	awaits   bool         // its intent is being written: the run is not asked for yet
-	halted   bool         // and it will not be
-	result   front.Answer // kept for repeats
-	routed   any          // its route, where the server routes: a *routed, which the catalogue server need not know
-	stored   bool         // result is valid
-	expired  bool         // no repeat can find it any more
-	waiters  []*try       // repeats that wait for its run
+	ended    time.Duration // done: when, by the module's clock
+	awaits   bool          // its intent is being written: the run is not asked for yet
+	halted   bool          // and it will not be
+	result   front.Answer  // kept for repeats
+	routed   any           // its route, where the server routes: a *routed, which the catalogue server need not know
+	stored   bool          // result is valid
+	expired  bool          // no repeat can find it any more
+	waiters  []*try        // repeats that wait for its run
 }
 
 // The bounds of figures. What is outside is no request of a gateway, and must not reach the module's estimates:
@@ -162,7 +163,8 @@
 		}
 		q.Subject = subject
 		if set.Fresh > 0 && subject != 0 {
-			t.keyed, t.key = true, keyID{class, r.Fields["resource-key"]}
+			// Reads of one subject that ask for different things have different answers.
+			t.keyed, t.key = true, keyID{class, fmt.Sprintf("%x %x", subject, s.sum(r.Body))}
 		}
 	}
 	if f.err != nil {
