Keep the time that callers tell with each request, where the site passes deadlines

At fault: read in server/try.go never read the field, so Request.Budget stayed 0 and the module took the class's deadline. A caller that waits for less is then answered when it has gone, which is a lost request. Checked: the module keeps Budget since it was written, and its own tests cover that; nothing in policy.go changes. A request whose time went by unread is answered without a run; a value that is no number is invalid; at sites that pass no deadlines the field means nothing, as before.

--- a/server/try.go
+++ b/server/try.go
@@ -56,6 +56,7 @@
 	maxSender                    = 1e15        // gateways that restart take new numbers for ever
 	maxAhead                     = time.Second // clocks of two machines differ
 	maxUnread                    = time.Minute // a request may lie unread while the machine pauses
+	maxBudget                    = 1e9         // ms
 )
 
 // fields reads the fields of a request and keeps the first complaint.
@@ -143,6 +144,11 @@
 		Work:   time.Duration(f.number("Work-Estimate", 0, maxWork, 0) * float64(time.Millisecond)),
 		SizeKB: f.number("Footprint-Kb", leastFootprint, maxFootprint)}
 	f.number("Priority-Rank", 0, 1, 0)
+	// Told in milliseconds from Received-At where the site passes deadlines, and no field of a request elsewhere.
+	budget, told := time.Duration(0), s.told.Module.Deadlines && r.Fields["budget-ms"] != ""
+	if told {
+		budget = time.Duration(f.number("Budget-Ms", 0, maxBudget) * float64(time.Millisecond))
+	}
 	if len(s.tenants) > 0 {
 		account := f.text("Account")
 		if q.Tenant, known = s.tenants[account]; !known {
@@ -173,5 +179,8 @@
 	// The time that a request lay unread counts: its caller waits since Received-At.
 	q.Waited = max(unix.Sub(t.stamp), 0)
 	t.arrived = now - q.Waited
+	if told {
+		q.Budget = max(budget-q.Waited, time.Nanosecond) // none would mean that it is not told
+	}
 	return t, q, nil, nil
 }
