Start at sites whose requests make calls, and end at once those that come to one

At fault: servable in server/server.go refused the start; Link.notice in internal/interp passed AWAIT over as unknown. Mend: any dependency starts. Requests that make no call are served.

--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -20,6 +20,8 @@
 	// Up says that the interpreter runs: whether it was cold at its start, and how long ago that was. It is
 	// called once for each start of the interpreter.
 	Up(cold bool, age time.Duration)
+	// Awaits says that a run waits for a call to what lies below, and goes on only after that.
+	Awaits(id string)
 	// Ended says that a run is over. It is called once for each run.
 	Ended(id string, end End, result []byte)
 	// Trouble reports what should not happen, for the log.
@@ -295,6 +297,12 @@
 		}
 	case opValue:
 		l.ended(n.ID, End(n.End), n.Body)
+	case opAwait:
+		if l.runs[n.ID] == nil {
+			l.Count.Unknown++
+			return
+		}
+		l.handler.Awaits(n.ID)
 	case opTops, opSmoked:
 		l.answered(n)
 	case opError:
--- a/internal/interp/link_test.go
+++ b/internal/interp/link_test.go
@@ -28,6 +28,8 @@
 func (e *ear) Up(cold bool, age time.Duration) {
 	e.heard = append(e.heard, fmt.Sprintf("up %t %v", cold, age))
 }
+func (e *ear) Awaits(id string) { e.heard = append(e.heard, "awaits "+id) }
+
 func (e *ear) Ended(id string, end End, result []byte) {
 	e.heard = append(e.heard, fmt.Sprintf("%s %s %q", id, end, result))
 }
--- a/internal/interp/message.go
+++ b/internal/interp/message.go
@@ -26,6 +26,7 @@
 
 	opBanner = "BANNER"
 	opValue  = "VALUE"
+	opAwait  = "AWAIT"
 	opTops   = "TOPS"
 	opSmoked = "SMOKED"
 	opError  = "ERROR"
--- a/internal/interp/model_test.go
+++ b/internal/interp/model_test.go
@@ -28,6 +28,8 @@
 func (f *far) Up(bool, time.Duration)         {}
 func (f *far) Trouble(text string, err error) { f.t.Fatalf("%s: %v", text, err) }
 
+func (f *far) Awaits(id string) { f.t.Fatalf("a call of %s", id) }
+
 func (f *far) Ended(id string, end End, _ []byte) {
 	if f.heard[id]++; end != EndOK {
 		f.t.Fatalf("run %s ended %s", id, end)
--- a/server/actions.go
+++ b/server/actions.go
@@ -159,7 +159,7 @@
 // Log implements tillerusher.Actions.
 func (a actions) Log(line string) { a.log.Info("decision", zap.String("text", line)) }
 
-// Call implements tillerusher.Actions; New turns settings away under which requests make calls.
+// Call implements tillerusher.Actions; the module hears of no calls, as Awaits ends the requests that come to one.
 func (a actions) Call(id tillerusher.RequestID, _ time.Duration) { a.noCalls(id) }
 
 // Skip implements tillerusher.Actions, as Call.
--- a/server/counters.go
+++ b/server/counters.go
@@ -15,6 +15,7 @@
 	direct                          uint64 // answers that a route has by itself
 
 	runs, ended, errored, stopped, moot uint64 // runs
+	calls                               uint64 // runs that came to a call, which nothing can make
 	ranTwice, refusedRan                uint64 // decisions that a rule forbids and that were not carried out
 	resultsDropped                      uint64 // kept results given up for memory
 	reports, reportErrors               uint64 // to the announce service
@@ -40,7 +41,7 @@
 		{"too_many", c.tooMany}, {"bad_role", c.badRole}, {"invalid", c.invalid}, {"served", c.served},
 		{"refused", c.refused}, {"failed", c.failed}, {"reused", c.reused}, {"checks", c.checks},
 		{"checks_bad", c.checksBad}, {"direct", c.direct}, {"runs", c.runs}, {"ended", c.ended}, {"errored", c.errored},
-		{"stopped", c.stopped}, {"moot", c.moot}, {"ran_twice", c.ranTwice}, {"refused_ran", c.refusedRan},
+		{"stopped", c.stopped}, {"moot", c.moot}, {"calls", c.calls}, {"ran_twice", c.ranTwice}, {"refused_ran", c.refusedRan},
 		{"results_dropped", c.resultsDropped}, {"reports", c.reports}, {"report_errors", c.reportErrors},
 		{"reloads", c.reloads}}, s.link.Counters()...))
 	if s.journal != nil && why != "exit" {
--- a/server/server.go
+++ b/server/server.go
@@ -7,7 +7,6 @@
 
 import (
 	"container/list"
-	"errors"
 	"fmt"
 	"hash/maphash"
 	"time"
@@ -142,11 +141,8 @@
 }
 
 // servable tells what is wrong with settings that can be read: what the module can't work with is found now,
-// not when the interpreter comes up.
+// not when the interpreter comes up. Any dependency is served, though no call to it can be made: see Awaits.
 func servable(cfg *Config) error {
-	if cfg.Settings.Module.Below != tillerusher.DependencyNone {
-		return errors.New("config: settings.family-info.below: only none is served")
-	}
 	if _, err := tillerusher.New(cfg.Settings.Module, nil); err != nil {
 		return fmt.Errorf("config: settings: %w", err)
 	}
--- a/server/worker.go
+++ b/server/worker.go
@@ -45,6 +45,28 @@
 		{"notices", l.Notices}, {"replayed", l.Replayed}, {"unknown_notices", l.Unknown}, {"unanswered", l.Unanswered}}
 }
 
+// Awaits implements interp.Handler. Requests may call what lies below at some sites, but no page says how a server
+// makes such a call, so the run can't go on and its request can't be served: it is answered at once. A request without an
+// effect is refused, with the wish that no other server be tried, which could not serve it either.
+func (s *Server) Awaits(wire string) {
+	t := s.byWire[wire]
+	if t == nil || t.state != running {
+		return
+	}
+	s.count.calls++
+	if t.answered {
+		return // its run ends by itself
+	}
+	if t.once {
+		s.answer(t, front.Answer{Status: statusFailed})
+	} else {
+		r := refusal(s.told.Module.RetryAfter)
+		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
+		s.answer(t, r)
+	}
+	s.module.Gone(s.event(), t.id)
+}
+
 // Ended implements interp.Handler.
 func (s *Server) Ended(wire string, end interp.End, result []byte) {
 	s.ran(wire, end, front.Answer{Status: statusServed, Body: result})
