--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,19 +33,23 @@
 
 // Limits are those of this process.
 type Limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
+	Cores    float64
+	MemoryMB int
+	Sockets  int
 }
 
 // file mirrors the configuration file; unknown keys are skipped.
 type file struct {
-	Name     string          `json:"name"`
-	Listen   string          `json:"listen"`
-	VM       string          `json:"vm"`
-	Announce string          `json:"announce"`
-	StopMS   float64         `json:"stop_ms"`
-	Limits   Limits          `json:"limits"`
+	Name     string  `json:"name"`
+	Listen   string  `json:"listen"`
+	VM       string  `json:"vm"`
+	Announce string  `json:"announce"`
+	StopMS   float64 `json:"stop_ms"`
+	Limits   struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"` // a number like the others: 38.4 is none too few
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
 	Settings json.RawMessage `json:"settings"`
 }
 
@@ -76,7 +80,7 @@
 	if listen != "" {
 		f.Listen, listenField = listen, envListen
 	}
-	c := &Config{Name: f.Name, Limits: f.Limits, Stop: time.Duration(f.StopMS * float64(time.Millisecond))}
+	c := &Config{Name: f.Name, Stop: time.Duration(f.StopMS * float64(time.Millisecond))}
 	if f.Name == "" || strings.ContainsFunc(f.Name, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
 		return nil, fmt.Errorf("config: %s is %q, want one word", nameField, f.Name)
 	}
@@ -92,12 +96,13 @@
 	for _, n := range []struct {
 		field       string
 		value, from float64
-	}{{"stop_ms", f.StopMS, 1}, {"limits.cores", f.Limits.Cores, 0.01}, {"limits.memory_mb", float64(f.Limits.MemoryMB), 16},
-		{"limits.sockets", float64(f.Limits.Sockets), 32}} {
+	}{{"stop_ms", f.StopMS, 1}, {"limits.cores", f.Limits.Cores, 0.01}, {"limits.memory_mb", f.Limits.MemoryMB, 16},
+		{"limits.sockets", f.Limits.Sockets, 32}} {
 		if !(n.value >= n.from && n.value < 1e9) {
 			return nil, fmt.Errorf("config: %s is %v, want at least %v", n.field, n.value, n.from)
 		}
 	}
+	c.Limits = Limits{Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets)}
 	if len(f.Settings) == 0 {
 		return nil, fmt.Errorf("config: settings is missing")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,3 +83,11 @@
 		t.Error("broken JSON was taken")
 	}
 }
+
+// TestNumbers takes limits as any JSON writes numbers: a legal deployment must not be refused for a fraction.
+func TestNumbers(t *testing.T) {
+	c, err := parse(text(t, "limits", map[string]any{"cores": 0.0625, "memory_mb": 38.4, "sockets": json.RawMessage("5.12e2")}), "", "")
+	if err != nil || c.Limits != (Limits{Cores: 0.0625, MemoryMB: 38, Sockets: 512}) {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,3 +56,27 @@
 		t.Error("broken JSON was taken")
 	}
 }
+
+// TestFirstListed starts where the list names no server yet, and not where the number is missing.
+func TestFirstListed(t *testing.T) {
+	told, err := Parse([]byte(`{"servers": 0}`))
+	if err != nil || told.Module.Servers != 1 {
+		t.Errorf("%+v, %v", told, err)
+	}
+	if _, err := Parse([]byte(`{}`)); err == nil || !strings.Contains(err.Error(), "servers") {
+		t.Errorf("no number of servers: %v", err)
+	}
+}
+
+// TestUnknownWords names the field, the word and those that are known.
+func TestUnknownWords(t *testing.T) {
+	for field, text := range map[string]string{
+		"family-info.below": `"family-info": {"below": "sideways"}`, "family-info.say": `"family-info": {"say": "sideways"}`,
+		"family-info.stop-mode": `"family-info": {"stop-mode": "sideways"}`, "lanes[].repeat": `"lanes": [{"repeat": "sideways"}]`,
+	} {
+		_, err := Parse([]byte(`{"servers": 2, ` + text + `}`))
+		if err == nil || !strings.Contains(err.Error(), field+` is "sideways", want one of `) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
