End connections on this side first, and read them until the other side has ended, too

Read for crossings, and each forced on loopback by a system that tells the test of calls before they are made (internal/testkit/crossing). With bytes written just before the call that ended a connection, the gateway read "connection reset by peer": a resting connection that is closed for idling, one closed for being late with the rest of a request, one that was left as a drained server exits, by all three ways out. And a gateway's first request that lay unread as a newcomer needed room was closed away while silent callers stayed. At fault: closeIdle in server/idle.go, Run and stop in server/drain.go closed sockets at once; the kernel resets over unread bytes, which takes answers along that the gateway has not read. makeRoom took the oldest silent connection unlooked. Mend: idle and late connections and those left at the exit end with CloseSent: half-close, what still comes is read and thrown away for a second at most, at the exit for 50 ms at most. A server told to leave before its interpreter was up goes the same way. makeRoom takes one for which nothing waits, as long as there is one. Descriptors that linger are still the first to make room. Checked and found sound, with a test each: the listener's close, requests with and after the notice, SIGHUP and SIGTERM in one round, the link replaced over an unread end, command and question, resets right after the accept, a further try in one round with the first one's end, at the window's edge and in a drain, a full outgoing buffer at the exit. Numbers of notices are read in any form that JSON has for a whole number; 3.0 closed the link, again and again. With the old idle.go four of the tests fail, with the old drain.go the other two ways out.

--- a/internal/interp/decode.go
+++ b/internal/interp/decode.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 )
 
@@ -72,7 +73,7 @@
 			return fmt.Errorf("interp: body: %w", err)
 		}
 	case "seq":
-		n.Seq, err = strconv.ParseUint(string(s.word()), 10, 64)
+		n.Seq, err = s.whole()
 	case "ms":
 		n.MS, err = strconv.ParseFloat(string(s.word()), 64)
 	case "values":
@@ -132,6 +133,20 @@
 	return s.p[s.i-n : s.i]
 }
 
+// whole reads a whole number, in any form that JSON has for one.
+func (s *scanner) whole() (uint64, error) {
+	word := string(s.word())
+	n, err := strconv.ParseUint(word, 10, 64)
+	if err == nil {
+		return n, nil
+	}
+	f, ferr := strconv.ParseFloat(word, 64)
+	if ferr != nil || f < 0 || f >= 1<<53 || f != math.Trunc(f) {
+		return 0, err
+	}
+	return uint64(f), nil
+}
+
 // text reads a string; it is valid as long as the line.
 func (s *scanner) text() ([]byte, error) {
 	if !s.take('"') {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -259,11 +259,13 @@
 
 // Quiet tells whether nothing came or went for the time and nothing waits in the socket.
 func (c *Conn) Quiet(idle time.Duration) bool {
-	if c.closed || len(c.out) > 0 || c.loop.now.Sub(c.active) < idle {
-		return false
-	}
+	return !c.closed && len(c.out) == 0 && c.loop.now.Sub(c.active) >= idle && !c.Waiting()
+}
+
+// Waiting tells whether something waits in the socket: bytes, or word of the connection's end.
+func (c *Conn) Waiting() bool {
 	_, err := c.loop.system.Peek(c.fd, c.loop.one[:1])
-	return err == unix.EAGAIN
+	return err != unix.EAGAIN
 }
 
 // Stuck tells whether there is something to be sent and the peer took none of it for the time.
--- a/internal/standin/gateway.go
+++ b/internal/standin/gateway.go
@@ -22,6 +22,9 @@
 	return &Gateway{conn: conn, buf: make([]byte, 32<<10)}, nil
 }
 
+// Conn is the connection itself.
+func (g *Gateway) Conn() net.Conn { return g.conn }
+
 // Write sends bytes as they are.
 func (g *Gateway) Write(p []byte) error {
 	_, err := g.conn.Write(p)
--- /dev/null
+++ b/internal/testkit/crossing/crossing.go
@@ -0,0 +1,98 @@
+// Package crossing has a test do something between two system calls of a loop: a byte comes after the look into a
+// socket and before its close, a call after the last accept. The order is the test's own, and no sleep's.
+package crossing
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"golang.org/x/sys/unix"
+
+	"tillerusher/internal/loop"
+)
+
+// Call is a system call that a test may come before.
+type Call string
+
+// The calls.
+const (
+	Accept   Call = "accept"
+	Read     Call = "read"
+	Peek     Call = "peek"
+	Write    Call = "write"
+	Shutdown Call = "shutdown"
+	Close    Call = "close"
+)
+
+// System is a loop's system that tells a test of calls before they are made.
+type System struct {
+	loop.System
+	mu     sync.Mutex
+	before func(call Call, fd int) (done bool)
+}
+
+// New is the machine's own system, with nothing in between yet.
+func New() *System { return &System{System: loop.Kernel{}} }
+
+// Before has a function called before each call until it returns true, on the goroutine that makes the call.
+func (s *System) Before(do func(call Call, fd int) (done bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before = do
+}
+
+// tell tells the test of a call.
+func (s *System) tell(call Call, fd int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.before != nil && s.before(call, fd) {
+		s.before = nil
+	}
+}
+
+// Accept implements loop.System.
+func (s *System) Accept(fd int) (int, error) {
+	s.tell(Accept, fd)
+	return s.System.Accept(fd)
+}
+
+// Read implements loop.System.
+func (s *System) Read(fd int, p []byte) (int, error) {
+	s.tell(Read, fd)
+	return s.System.Read(fd, p)
+}
+
+// Peek implements loop.System.
+func (s *System) Peek(fd int, p []byte) (int, error) {
+	s.tell(Peek, fd)
+	return s.System.Peek(fd, p)
+}
+
+// Write implements loop.System.
+func (s *System) Write(fd int, p []byte) (int, error) {
+	s.tell(Write, fd)
+	return s.System.Write(fd, p)
+}
+
+// ShutdownWrite implements loop.System.
+func (s *System) ShutdownWrite(fd int) error {
+	s.tell(Shutdown, fd)
+	return s.System.ShutdownWrite(fd)
+}
+
+// Close implements loop.System.
+func (s *System) Close(fd int) error {
+	s.tell(Close, fd)
+	return s.System.Close(fd)
+}
+
+// Peer tells whether a descriptor of this process is the other end of a connection.
+func Peer(fd int, of net.Conn) bool {
+	sa, err := unix.Getpeername(fd)
+	if err != nil {
+		return false
+	}
+	at, ok := sa.(*unix.SockaddrInet4)
+	return ok && netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)) == of.LocalAddr().(*net.TCPAddr).AddrPort()
+}
--- /dev/null
+++ b/server/crossings_test.go
@@ -0,0 +1,496 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"tillerusher/internal/standin"
+	"tillerusher/internal/testkit"
+	"tillerusher/internal/testkit/crossing"
+)
+
+// Each test here has one thing come between two others, in an order of its own making: docs/design/crossings.md has
+// the list, and what is ruled out by reading.
+
+// ends waits for the end of a connection, and fails where it was reset instead, or brought anything more.
+func ends(t *testing.T, g *testkit.Gateway) {
+	t.Helper()
+	if a, err := g.TryAnswer(0); !errors.Is(err, io.EOF) {
+		t.Errorf("%+v, %v instead of a clean end", a, err)
+	}
+}
+
+// atEnd has something done just before the server ends its side of a connection, by whatever call.
+func atEnd(system *crossing.System, of net.Conn, do func()) <-chan bool {
+	done := make(chan bool)
+	system.Before(func(call crossing.Call, fd int) bool {
+		if call != crossing.Shutdown && call != crossing.Close || !crossing.Peer(fd, of) {
+			return false
+		}
+		do()
+		close(done)
+		return true
+	})
+	return done
+}
+
+// nextRound waits until the server has taken in all that was written to it before.
+func nextRound(s *Server) {
+	for range 2 { // what is posted may be called in the round that began before
+		do(s, func() {})
+	}
+}
+
+// TestCrossIdleClose has a request, or half of one, come in the very moment in which a resting connection is closed:
+// the gateway reads the answer that it had not read yet, then a clean end and no reset, and the request is not run.
+func TestCrossIdleClose(t *testing.T) {
+	whole := standin.Lookup("crosses").Records(2)
+	for what, late := range map[string][]byte{"a request": whole, "half a request": whole[:30], "a byte": whole[:1]} {
+		t.Run(what, func(t *testing.T) {
+			system := crossing.New()
+			s, it := runOn(t, system, testTold(t))
+			g := testkit.Dial(t, s.cfg.Listen.String())
+			done := atEnd(system, g.Conn(), func() { g.Write(late) })
+			g.Write(standin.Lookup("answered").Records(1))
+			it.End(it.WaitApplied(1)[0].ID, "OK", []byte("x"))
+			testkit.Wait(t, "the module's own setting", func() (set bool) {
+				do(s, func() { set = s.idle > 0 })
+				return set
+			})
+			do(s, func() { actions{s}.CloseIdle(20 * time.Millisecond) })
+			<-done
+			nextRound(s)
+			if a := g.Answer(1); a.Status != 200 {
+				t.Errorf("answer before the end: %+v", a)
+			}
+			ends(t, g)
+			if runs := it.Applied(); len(runs) != 1 {
+				t.Errorf("what came after the end was run: %v", runs)
+			}
+		})
+	}
+}
+
+// TestCrossUnfinished has the rest of a request come as the connection is closed for being late with it.
+func TestCrossUnfinished(t *testing.T) {
+	system := crossing.New()
+	s, it := runOn(t, system, testTold(t))
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	whole := standin.Lookup("late").Records(1)
+	done := atEnd(system, g.Conn(), func() { g.Write(whole[30:]) })
+	g.Write(whole[:30])
+	nextRound(s)
+	do(s, func() {
+		for c := range s.connections() {
+			if !c.since.IsZero() {
+				c.since = c.since.Add(-unfinishedMost)
+			}
+		}
+		s.closeIdle()
+	})
+	<-done
+	ends(t, g)
+	if runs := it.Applied(); len(runs) != 0 {
+		t.Errorf("what came after the end was run: %v", runs)
+	}
+}
+
+// TestCrossExit has a request come as a drained server ends its connections, by either way out: after the last one has
+// rested, and when its time is up.
+func TestCrossExit(t *testing.T) {
+	for what, end := range map[string]func(s *Server){"resting": (*Server).drain, "time up": (*Server).stop,
+		"not yet up": (*Server).drain} {
+		t.Run(what, func(t *testing.T) {
+			system := crossing.New()
+			it := testkit.NewInterpreter(t)
+			if what == "not yet up" {
+				it.Down()
+			}
+			s := runWith(t, system, testTold(t), it)
+			g := testkit.Dial(t, s.cfg.Listen.String())
+			testkit.Wait(t, "the interpreter", func() bool { return what == "not yet up" || check(g, false) == 200 })
+			check(g, false)
+			done := atEnd(system, g.Conn(), func() { g.Write(standin.Lookup("crosses").Records(2)) })
+			s.loop.Post(func() { end(s) })
+			<-done
+			ends(t, g)
+			if runs := it.Applied(); len(runs) != 0 {
+				t.Errorf("what came after the end was run: %v", runs)
+			}
+		})
+	}
+}
+
+// TestCrossRoom has a gateway's first request lie unread as a newcomer needs room: silent callers go before it.
+func TestCrossRoom(t *testing.T) {
+	system := crossing.New()
+	s, it := runOn(t, system, testTold(t))
+	most := s.cfg.Limits.Sockets - spareSockets
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	for range most - 1 {
+		testkit.Dial(t, s.cfg.Listen.String())
+	}
+	testkit.Wait(t, "all to be let in", func() (in bool) {
+		do(s, func() { in = s.gateways.Len() == most })
+		return in
+	})
+	do(s, func() {
+		g.Write(standin.Lookup("just came").Records(1))
+		if !s.makeRoom() {
+			t.Error("no room was made")
+		}
+	})
+	it.End(it.WaitApplied(1)[0].ID, "OK", []byte("x"))
+	if a := g.Answer(1); a.Status != 200 {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// TestCrossListener has a caller come with a request just before the last look for callers: it is taken in and
+// answered. One that comes after that, as the listener closes, is not let in, and nothing of it is run.
+func TestCrossListener(t *testing.T) {
+	system := crossing.New()
+	s, it := runOn(t, system, testTold(t))
+	it.Prompt()
+	var g, after *testkit.Gateway
+	done := make(chan bool)
+	do(s, func() {
+		s.drain()
+		system.Before(func(call crossing.Call, fd int) bool {
+			switch {
+			case call == crossing.Accept && g == nil:
+				g = testkit.Dial(t, s.cfg.Listen.String())
+				g.Write(standin.Lookup("in time").Records(1))
+			case call == crossing.Close && after == nil && isListener(fd):
+				after = testkit.Dial(t, s.cfg.Listen.String())
+				after.Write(standin.Lookup("too late").Records(1))
+				close(done)
+				return true
+			}
+			return false
+		})
+		s.leave()
+	})
+	<-done
+	if a := g.Answer(1); a.Status != 200 {
+		t.Errorf("a caller in time: %+v", a)
+	}
+	if a, err := after.TryAnswer(1); err == nil {
+		t.Errorf("a caller that was not let in was answered: %+v", a)
+	}
+	for _, r := range it.Applied() {
+		if string(r.Body) == "too late" {
+			t.Error("a request of a caller that was not let in was run")
+		}
+	}
+}
+
+// isListener tells whether a descriptor is a listening socket.
+func isListener(fd int) bool {
+	listens, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	return err == nil && listens == 1
+}
+
+// TestCrossDrain has requests read after the notice: those that came within the grace are run, as the notice and the
+// request in one round are, whichever is first; later ones are refused at once.
+func TestCrossDrain(t *testing.T) {
+	told := testTold(t)
+	told.Module.DrainGrace = 500 * time.Millisecond
+	s, it := runAt(t, told)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	do(s, func() {
+		g.Write(standin.Lookup("with the notice").Records(1))
+		s.drain()
+	})
+	received := func(r standin.Request, late time.Duration) standin.Request {
+		return r.With("Received-At", strconv.FormatInt(time.Now().Add(late).UnixMilli(), 10))
+	}
+	it.WaitApplied(1)
+	g.Write(standin.Lookup("within the grace").Records(2))
+	for _, r := range it.WaitApplied(2) {
+		it.End(r.ID, "OK", []byte("x"))
+	}
+	for id := range uint16(2) {
+		if a := g.Answer(id + 1); a.Status != 200 {
+			t.Errorf("request %d: %+v", id+1, a)
+		}
+	}
+	do(s, func() { s.clock.origin = s.clock.origin.Add(-time.Second) }) // a second goes by
+	g.Write(received(standin.Lookup("after the grace"), 0).Records(3))
+	if a := g.Answer(3); a.Status != 503 || a.Header.Get("Back-Off-Ms") == "" {
+		t.Errorf("after the grace: %+v", a)
+	}
+	if runs := it.Applied(); len(runs) != 2 {
+		t.Errorf("runs %v", runs)
+	}
+	ends(t, g)
+}
+
+// TestCrossReloadDrain has a new configuration and the notice to leave in one round, in either order, while a run is
+// under way and its end lies unread on the old link: the end is read on the new one, answered once, and the server goes.
+func TestCrossReloadDrain(t *testing.T) {
+	for _, first := range []string{"reload", "drain"} {
+		t.Run(first, func(t *testing.T) {
+			s, it := run(t)
+			g := testkit.Dial(t, s.cfg.Listen.String())
+			g.Write(standin.Reserve(1, "x").Records(1))
+			id := it.WaitApplied(1)[0].ID
+			moved := it.Move()
+			cfg := *s.cfg
+			cfg.Interpreter = netip.MustParseAddrPort(moved)
+			cfg.Stop *= 2
+			do(s, func() {
+				it.End(id, "OK", []byte("result"))
+				if first == "reload" {
+					s.reload(&cfg)
+					s.drain()
+				} else {
+					s.drain()
+					s.reload(&cfg)
+				}
+			})
+			if a := g.Answer(1); a.Status != 200 || string(a.Body) != "result" {
+				t.Errorf("answer %+v", a)
+			}
+			ends(t, g)
+			if runs := it.Applied(); len(runs) != 1 || it.LinkAt() != moved {
+				t.Errorf("runs %v on the link at %s", runs, it.LinkAt())
+			}
+		})
+	}
+}
+
+// TestCrossLink has the link replaced while the end of a run lies unread on it, while a command is written but not read,
+// and while the gauges are asked for: each run begins once, ends once and is answered once.
+func TestCrossLink(t *testing.T) {
+	s, it := run(t)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	move := func(with func()) {
+		t.Helper()
+		moved := it.Move()
+		cfg := *s.cfg
+		cfg.Interpreter = netip.MustParseAddrPort(moved)
+		do(s, func() {
+			with()
+			s.reload(&cfg)
+		})
+	}
+	g.Write(standin.Reserve(1, "x").Records(1))
+	id := it.WaitApplied(1)[0].ID
+	move(func() { it.End(id, "OK", []byte("one")) })
+	if a := g.Answer(1); a.Status != 200 || string(a.Body) != "one" {
+		t.Errorf("end unread on the old link: %+v", a)
+	}
+	// The command goes out at the end of the round in which the request is read, so the link goes in the next.
+	g.Write(standin.Reserve(2, "y").Records(2))
+	nextRound(s)
+	move(func() {})
+	it.End(it.WaitApplied(2)[1].ID, "OK", []byte("two"))
+	if a := g.Answer(2); a.Status != 200 || string(a.Body) != "two" {
+		t.Errorf("command on the old link: %+v", a)
+	}
+	asked := make(chan bool, 1)
+	move(func() { s.link.Top(s.loop.Now(), func(_ []float64, ok bool) { asked <- ok }) })
+	if <-asked {
+		t.Error("a question on a link that went was answered as if it had come through")
+	}
+	g.Write(standin.Reserve(2, "y").Records(3))
+	if a := g.Answer(3); a.Status != 200 || string(a.Body) != "two" {
+		t.Errorf("repeat on the new link: %+v", a)
+	}
+	if runs := it.Applied(); len(runs) != 2 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestCrossReset has callers reset their connection right after it was accepted, before and after it is first read,
+// with nothing, half a request or a whole one sent: the server goes on, and holds nothing of them.
+func TestCrossReset(t *testing.T) {
+	whole := standin.Lookup("gone").Records(1)
+	for what, sent := range map[string][]byte{"nothing": nil, "half a request": whole[:30], "a request": whole} {
+		t.Run(what, func(t *testing.T) {
+			system := crossing.New()
+			s, it := runOn(t, system, testTold(t))
+			reset := func(c net.Conn) {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+			done := make(chan bool)
+			var g *testkit.Gateway
+			do(s, func() { // one that is reset while it waits to be accepted
+				early := testkit.Dial(t, s.cfg.Listen.String())
+				early.Write(sent)
+				reset(early.Conn())
+				g = testkit.Dial(t, s.cfg.Listen.String())
+				g.Write(sent)
+				system.Before(func(call crossing.Call, fd int) bool { // and one between the accept and the read
+					if call != crossing.Read || !crossing.Peer(fd, g.Conn()) {
+						return false
+					}
+					reset(g.Conn())
+					close(done)
+					return true
+				})
+			})
+			if len(sent) == 0 { // nothing to be read would come
+				do(s, func() { g.Write([]byte{1}) })
+			}
+			<-done
+			testkit.Wait(t, "the connections to be forgotten", func() (gone bool) {
+				do(s, func() { gone = s.gateways.Len() <= 1 && len(s.tries) == 0 })
+				for _, r := range it.Applied() {
+					it.End(r.ID, "STOPPED", nil)
+				}
+				return gone
+			})
+			next := testkit.Dial(t, s.cfg.Listen.String())
+			if got := check(next, false); got != 200 {
+				t.Errorf("the next caller: %d", got)
+			}
+		})
+	}
+}
+
+// TestCrossRepeat has a further try of a keyed request be read in one round with the end of the first, whichever epoll
+// tells first, and with its failure, and then once more: it is answered from the one run there is.
+func TestCrossRepeat(t *testing.T) {
+	for _, end := range []string{"OK", "ERROR"} {
+		t.Run(end, func(t *testing.T) {
+			s, it := run(t)
+			first, second := testkit.Dial(t, s.cfg.Listen.String()), testkit.Dial(t, s.cfg.Listen.String())
+			check(second, false)
+			for n := range 20 { // the order in which epoll tells of them differs from round to round
+				first.Write(standin.Reserve(n, "x").Records(1))
+				id := it.WaitApplied(n + 1)[n].ID
+				do(s, func() {
+					if n%2 == 0 {
+						second.Write(standin.Reserve(n, "x").With("Attempt-Again", "1").Records(2))
+						it.End(id, end, []byte("result"))
+					} else {
+						it.End(id, end, []byte("result"))
+						second.Write(standin.Reserve(n, "x").With("Attempt-Again", "1").Records(2))
+					}
+				})
+				want := map[string]int{"OK": 200, "ERROR": 500}[end]
+				for g, id := range map[*testkit.Gateway]uint16{first: 1, second: 2} {
+					if a := g.Answer(id); a.Status != want || end == "OK" && string(a.Body) != "result" {
+						t.Errorf("request %d, try %d: %+v", n, id, a)
+					}
+				}
+			}
+			if runs := it.Applied(); len(runs) != 20 {
+				t.Errorf("%d runs of 20 requests", len(runs))
+			}
+		})
+	}
+}
+
+// TestCrossWindow has further tries come at the edge of the window, by their Received-At: up to the 50 ms that limits on
+// sockets are longer none is run.
+func TestCrossWindow(t *testing.T) {
+	told := testTold(t)
+	window := 700 * time.Millisecond
+	told.Module.Classes[1].Window = window
+	s, it := runAt(t, told)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	received := time.Now().Truncate(time.Millisecond)
+	try := func(n int, after time.Duration) []byte {
+		return standin.Reserve(1, "x").With("Received-At", strconv.FormatInt(received.Add(after).UnixMilli(), 10)).Records(uint16(n))
+	}
+	g.Write(try(1, 0))
+	it.End(it.WaitApplied(1)[0].ID, "OK", []byte("result"))
+	for n, after := range []time.Duration{0, window - time.Millisecond, window, window + time.Millisecond, window + 50*time.Millisecond} {
+		g.Write(try(n+2, after))
+		if a := g.Answer(uint16(n + 2)); a.Status != 200 || string(a.Body) != "result" {
+			t.Errorf("%v after the first: %+v", after, a)
+		}
+	}
+	if runs := it.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestCrossDrainRepeat has a further try come after the notice while the first runs, and one after the end of it: both
+// have its result, and nothing is run again.
+func TestCrossDrainRepeat(t *testing.T) {
+	told := testTold(t)
+	told.Module.DrainGrace = 500 * time.Millisecond
+	s, it := runAt(t, told)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	g.Write(standin.Reserve(1, "x").Records(1))
+	id := it.WaitApplied(1)[0].ID
+	do(s, func() {
+		s.drain()
+		g.Write(standin.Reserve(1, "x").Records(2))
+	})
+	nextRound(s)
+	it.End(id, "OK", []byte("result"))
+	for try := range uint16(2) {
+		if a := g.Answer(try + 1); a.Status != 200 || string(a.Body) != "result" {
+			t.Errorf("try %d: %+v", try+1, a)
+		}
+	}
+	g.Write(standin.Reserve(1, "x").Records(3))
+	if a := g.Answer(3); a.Status != 200 || string(a.Body) != "result" {
+		t.Errorf("a try after the end: %+v", a)
+	}
+	if runs := it.Applied(); len(runs) != 1 {
+		t.Errorf("runs %v", runs)
+	}
+}
+
+// TestCrossFullBuffer has a gateway that reads nothing have more sent to it than buffers hold as the server is told to
+// leave: once it reads, all answers come whole, and then the end. One that never reads doesn't keep the server, which
+// the end of the test waits for.
+func TestCrossFullBuffer(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		t.Run(fmt.Sprintf("reads %t", reads), func(t *testing.T) {
+			s, it := run(t)
+			it.Prompt()
+			g := testkit.Dial(t, s.cfg.Listen.String())
+			g.Conn().(*net.TCPConn).SetReadBuffer(4 << 10)
+			body := bytes.Repeat([]byte("x"), 2000)
+			sent := 0
+			testkit.Wait(t, "a full buffer", func() (full bool) {
+				for range maxOpen / 2 {
+					sent++
+					g.Write(standin.Lookup(string(body)).Records(uint16(sent)))
+				}
+				nextRound(s)
+				do(s, func() {
+					for c := range s.connections() {
+						full = full || c.conn.Unsent() > 0
+					}
+				})
+				return full
+			})
+			do(s, func() {
+				s.drain()
+				s.leave()
+			})
+			if !reads {
+				return
+			}
+			answers := 0
+			a, err := g.TryAnswer(0)
+			for ; err == nil; a, err = g.TryAnswer(0) {
+				if a.Status != 200 && a.Status != 503 {
+					t.Errorf("answer %+v", a)
+				}
+				answers++
+			}
+			if !errors.Is(err, io.EOF) || answers != sent {
+				t.Errorf("%d answers to %d requests, then %v", answers, sent, err)
+			}
+		})
+	}
+}
--- a/server/drain.go
+++ b/server/drain.go
@@ -25,13 +25,14 @@
 	s.log.Info("draining", zap.Duration("stop", s.cfg.Stop), zap.Int("open", len(s.tries)))
 	s.remark("SIGTERM: %d open, %v until the end", len(s.tries), s.cfg.Stop)
 	s.tell(false)
-	if s.module == nil {
-		s.loop.Stop() // nothing was taken in
-		return
-	}
-	s.module.Drain(s.event(), s.cfg.Stop)
 	margin := max(stopMargin, s.cfg.Stop/32)
-	s.loop.After(min(s.told.Module.DrainGrace, s.cfg.Stop-2*margin), s.leave)
+	if s.module == nil { // nothing was taken in
+		s.leave()
+		s.part()
+	} else {
+		s.module.Drain(s.event(), s.cfg.Stop)
+		s.loop.After(min(s.told.Module.DrainGrace, s.cfg.Stop-2*margin), s.leave)
+	}
 	s.loop.After(s.cfg.Stop-margin, s.stop)
 }
 
@@ -51,25 +52,21 @@
 	s.loop.After(drainPace, s.waitIdle)
 }
 
+// part ends this side of all connections, once what they are owed is sent.
+func (s *Server) part() {
+	for g := range s.connections() {
+		if !g.conn.Closing() {
+			g.finish()
+		}
+	}
+}
+
 // stop answers whatever is left, which the module should not have let come to this, and ends the loop once all
-// is sent.
+// is sent and the connections have ended on the other side, too: a process that exits over unread bytes resets them.
 func (s *Server) stop() {
 	for _, t := range sorted(s.tries) {
 		s.answer(t, front.Answer{Status: statusFailed})
 	}
+	s.part()
 	s.loop.After(stopMargin/2, s.loop.Stop)
-	s.waitSent()
-}
-
-// waitSent stops the loop when nothing waits to be sent.
-func (s *Server) waitSent() {
-	unsent := 0
-	for g := range s.connections() {
-		unsent += g.conn.Unsent()
-	}
-	if unsent == 0 {
-		s.loop.Stop()
-		return
-	}
-	s.loop.After(drainPace, s.waitSent)
 }
--- a/server/idle.go
+++ b/server/idle.go
@@ -1,6 +1,9 @@
 package server
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The pace at which connections are looked at.
 const (
@@ -24,11 +27,9 @@
 // owed tells whether requests of the connection are owed an answer.
 func (g *gateway) owed() bool { return len(g.tries)+len(g.smokes) > 0 }
 
-// overdue tells whether a connection has to go: it has not sent a whole request in time, or does not take what
-// it is sent.
+// overdue tells whether a connection has to go, as it has not sent a whole request in time.
 func (g *gateway) overdue(now time.Time) bool {
-	return !g.conn.Closing() && !g.since.IsZero() && now.Sub(g.since) >= unfinishedMost && !g.owed() ||
-		g.conn.Stuck(stuckAfter)
+	return !g.conn.Closing() && !g.since.IsZero() && now.Sub(g.since) >= unfinishedMost && !g.owed()
 }
 
 // rest is how long a connection may carry nothing: one that is closed right after the accept would only be made
@@ -40,18 +41,23 @@
 	return idle
 }
 
-// closeIdle closes connections that are overdue or carried nothing for the time the module set, and looks again
-// later.
+// closeIdle ends connections that are overdue or carried nothing for the time the module set, and looks again
+// later. Bytes may be on their way at that very moment: a close over them would reset the connection, and take with it
+// answers that the gateway has not read yet. So this side ends first, and what still comes is read and thrown away: a
+// gateway whose request crosses the end makes it again.
 func (s *Server) closeIdle() {
 	now := s.loop.Now()
 	for g := range s.connections() {
 		switch {
+		case g.conn.Stuck(stuckAfter):
+			s.count.unfinished++
+			g.close() // what it is sent goes nowhere
 		case g.overdue(now):
 			s.count.unfinished++
-			g.close()
+			g.finish()
 		case s.idle > 0 && !g.conn.Closing() && g.session.Open() == 0 && g.conn.Quiet(g.rest(s.idle)):
 			s.count.idleClosed++
-			g.close()
+			g.finish()
 		}
 	}
 	s.scanIdle()
@@ -69,9 +75,10 @@
 // makeRoom closes a connection for a new one and tells whether it could. Callers that connect in their hundreds
 // and stay silent, or ask once and stay, must not keep gateways out. First goes one that has ended on this side,
 // then one that never sent a whole request, then the one that has rested longest. Those that never sent one make
-// room for each other, however new, where they are half of all: gateways may need the other half.
+// room for each other, however new, where they are half of all: gateways may need the other half. One for which bytes
+// wait unread stays as long as there is another: it may be a gateway whose request has just come.
 func (s *Server) makeRoom() bool {
-	var victim, oldest *gateway
+	var victim, oldest, unread *gateway
 	best, silent := 0, 0
 	now := s.loop.Now()
 	for g := range s.connections() { // of two alike the older one is taken
@@ -82,6 +89,10 @@
 		case g.sound == 0:
 			silent++
 			if oldest == nil || g.since.Before(oldest.since) {
+				if g.conn.Waiting() {
+					unread = cmp.Or(unread, g)
+					continue
+				}
 				oldest = g
 			}
 			if now.Sub(g.since) >= freshFor {
@@ -90,12 +101,13 @@
 		case g.session.Open() == 0 && now.Sub(g.conn.Active()) >= restFor:
 			rank = 1
 		}
-		if rank > best || rank == best && rank > 0 && g.conn.Active().Before(victim.conn.Active()) {
+		if (rank > best || rank == best && rank > 0 && g.conn.Active().Before(victim.conn.Active())) &&
+			(rank == 3 || !g.conn.Waiting()) {
 			victim, best = g, rank
 		}
 	}
 	if best < 2 && 2*silent >= s.gateways.Len() {
-		victim = oldest
+		victim = cmp.Or(oldest, unread)
 	} else if victim == nil || best == 1 && !victim.conn.Quiet(restFor) {
 		return false
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"tillerusher/internal/config"
+	"tillerusher/internal/loop"
 	"tillerusher/internal/settings"
 	"tillerusher/internal/standin"
 	"tillerusher/internal/testkit"
@@ -32,20 +33,33 @@
 
 // runAt is run at a site.
 func runAt(t *testing.T, told *settings.Told) (*Server, *testkit.Interpreter) {
+	t.Helper()
+	return runOn(t, loop.Kernel{}, told)
+}
+
+// runOn is runAt on a system that need not be the machine's.
+func runOn(t *testing.T, system loop.System, told *settings.Told) (*Server, *testkit.Interpreter) {
 	t.Helper()
 	it := testkit.NewInterpreter(t)
+	s := runWith(t, system, told, it)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	defer g.Close()
+	testkit.Wait(t, "a healthy server", func() bool { return check(g, false) == 200 })
+	return s, it
+}
+
+// runWith starts a server with an interpreter that need not be up.
+func runWith(t *testing.T, system loop.System, told *settings.Told, it *testkit.Interpreter) *Server {
+	t.Helper()
 	cfg := &config.Config{Name: "n3", Listen: netip.MustParseAddrPort(testkit.FreeAddr(t)),
 		Interpreter: netip.MustParseAddrPort(it.Addr()), Announce: netip.MustParseAddrPort("127.0.0.1:9"),
 		Stop: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, Settings: told}
-	s, err := New(cfg, zap.NewNop())
+	s, err := NewOn(system, cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	serveFor(t, s)
-	g := testkit.Dial(t, cfg.Listen.String())
-	defer g.Close()
-	testkit.Wait(t, "a healthy server", func() bool { return check(g, false) == 200 })
-	return s, it
+	return s
 }
 
 // serveFor runs a server until the test ends, and drains it then.
