--- a/internal/testkit/node.go
+++ b/internal/testkit/node.go
@@ -171,6 +171,13 @@
 	return ReadReport(n.t, n.reports)
 }
 
+// StopAnnounce takes the announce service down, and returns where it was.
+func (n *Node) StopAnnounce() *net.UDPAddr {
+	at := n.reports.LocalAddr().(*net.UDPAddr)
+	n.reports.Close()
+	return at
+}
+
 // Counter returns a counter of the newest line of counters, or -1 before the first.
 func (n *Node) Counter(name string) int {
 	lines := strings.Split(n.Log(), "\n")
--- /dev/null
+++ b/server/pieces_test.go
@@ -0,0 +1,167 @@
+package server
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"tillerusher/internal/interp"
+	"tillerusher/internal/standin"
+	"tillerusher/internal/testkit"
+)
+
+// forms are legal ways of writing one request under a number, each in records of its own.
+func forms(r standin.Request, id uint16) map[string][]byte {
+	params := r.ParamBytes()
+	begin := standin.BeginRecord(id, 1, true)
+	record := func(kind byte, content []byte, padding byte) []byte {
+		return standin.Record(kind, id, content, padding)
+	}
+	chop := func(kind byte, content []byte, size int, padding byte) (b []byte) {
+		for len(content) > 0 {
+			n := min(size, len(content))
+			b = append(b, record(kind, content[:n], padding)...)
+			content = content[n:]
+		}
+		return append(b, record(kind, nil, padding)...)
+	}
+	join := func(parts ...[]byte) (b []byte) {
+		for _, p := range parts {
+			b = append(b, p...)
+		}
+		return b
+	}
+	var long []byte // each length in four bytes
+	for p := params; len(p) > 0; {
+		var n [2]int
+		for i := range n {
+			if p[0] < 128 {
+				n[i], p = int(p[0]), p[1:]
+			} else {
+				n[i], p = int(binary.BigEndian.Uint32(p)&^(1<<31)), p[4:]
+			}
+		}
+		long = append(long, standin.Pair(string(p[:n[0]]), string(p[n[0]:n[0]+n[1]]), true)...)
+		p = p[n[0]+n[1]:]
+	}
+	more := join(params, standin.Pair("SERVER_PROTOCOL", "HTTP/1.1", false), standin.Pair("HTTP_X_MORE", "", true),
+		standin.Pair("CONTENT_LENGTH", fmt.Sprint(len(r.Body)), false))
+	return map[string][]byte{
+		"plain":                r.Records(id),
+		"a byte a record":      join(begin, chop(standin.Params, params, 1, 0), chop(standin.Stdin, r.Body, 1, 0)),
+		"padding of 255":       join(begin, chop(standin.Params, params, 100, 255), chop(standin.Stdin, r.Body, 3, 255)),
+		"padding on the begin": join(standin.Record(standin.Begin, id, begin[8:], 9), chop(standin.Params, params, 7, 1), chop(standin.Stdin, r.Body, 2, 2)),
+		"long lengths":         join(begin, chop(standin.Params, long, 500, 0), chop(standin.Stdin, r.Body, 500, 0)),
+		"more parameters":      join(begin, chop(standin.Params, more, 33, 0), chop(standin.Stdin, r.Body, 500, 0)),
+		"the body first":       join(begin, record(standin.Stdin, r.Body[:3], 0), chop(standin.Params, params, 500, 0), chop(standin.Stdin, r.Body[3:], 500, 0)),
+		"a question between":   join(begin, standin.Record(standin.GetValues, 0, standin.Pair("FCGI_MAX_REQS", "", false), 0), chop(standin.Params, params, 500, 0), chop(standin.Stdin, r.Body, 500, 0)),
+		"an abort of another":  join(begin, standin.Record(standin.Abort, id+1000, nil, 0), chop(standin.Params, params, 500, 0), chop(standin.Stdin, r.Body, 500, 0)),
+		"data on the side":     join(begin, chop(standin.Params, params, 500, 0), chop(8, []byte("file"), 500, 0), chop(standin.Stdin, r.Body, 500, 0)),
+	}
+}
+
+// TestPieces writes requests in every legal form, each cut in two at every byte with the server reading in between, and
+// one in pieces of a byte: all of them are run with the body as it was sent, and answered.
+func TestPieces(t *testing.T) {
+	s, it := run(t)
+	it.Prompt()
+	n := uint16(0)
+	var ask func(g *testkit.Gateway, what string, pieces func(text []byte) [][]byte)
+	ask = func(g *testkit.Gateway, what string, pieces func(text []byte) [][]byte) {
+		t.Helper()
+		n++
+		body := fmt.Sprintf("body %d", n)
+		for i, p := range pieces(forms(standin.Lookup(body), n)[what]) {
+			if i > 0 {
+				nextRound(s)
+			}
+			g.Write(p)
+		}
+		for {
+			a := g.Answer(0)
+			if a.Kind == standin.Values {
+				continue
+			}
+			if a.Status == 503 { // a slow machine looks like a stall: the request comes again
+				ask(g, what, pieces)
+				return
+			}
+			if a.ID != n || a.Status != 200 || string(a.Body) != "["+body+"]" {
+				t.Fatalf("%s, request %d: %+v", what, n, a)
+			}
+			return
+		}
+	}
+	for what := range forms(standin.Lookup("body"), 1) {
+		t.Run(strings.ReplaceAll(what, " ", "-"), func(t *testing.T) {
+			g := testkit.Dial(t, s.cfg.Listen.String())
+			whole := forms(standin.Lookup("body 10000"), 10000)[what]
+			stride := max(len(whole)/400, 1) // forms of many records are long, and repeat themselves
+			for cut := 1; cut < len(whole)-40; cut += stride {
+				ask(g, what, func(b []byte) [][]byte {
+					at := min(cut, len(b)-1)
+					return [][]byte{b[:at], b[at:]}
+				})
+			}
+			ask(g, what, func(b []byte) (pieces [][]byte) {
+				for i := range b {
+					pieces = append(pieces, b[i:i+1])
+				}
+				return pieces
+			})
+		})
+	}
+}
+
+// TestPiecesOfNotices cuts what the interpreter says at every byte, in every form that JSON has for it: all of it is
+// understood, and no request waits.
+func TestPiecesOfNotices(t *testing.T) {
+	for what, notice := range map[string]string{
+		"plain":           `{"op":"VALUE","seq":%d,"id":"a1","end":"OK","ms":1.5,"body":"eA=="}` + "\n",
+		"another order":   `{"body":"eA==","ms":2,"end":"OK","id":"a1","seq":%d,"op":"VALUE"}` + "\n",
+		"white space":     " \t{ \"op\" : \"VALUE\" ,\t\"seq\" : %d , \"id\":\"a1\" , \"end\" : \"OK\", \"ms\":1e0,\"body\" : \"eA==\" } \r\n\n\r\n",
+		"escapes":         `{"\u006fp":"V\u0041LUE","seq":%d.0,"id":"\u00611","end":"O\u004b","ms":0,"body":"eA\u003d\u003d"}` + "\n",
+		"unknown fields":  `{"op":"VALUE","more":{"op":"BANNER","of":[1,"}",null]},"seq":%d,"id":"a1","end":"OK","ms":1,"body":"eA==","tag":null,"values":[]}` + "\n",
+		"a remark before": `{"op":"TRACE","seq":0,"end":"a remark with \"quotes\" and {braces}"}` + "\n" + `{"op":"VALUE","seq":%d,"id":"a1","end":"OK","ms":1,"body":"eA=="}` + "\n",
+	} {
+		t.Run(strings.ReplaceAll(what, " ", "-"), func(t *testing.T) {
+			for cut := range len(notice) {
+				e := &endings{}
+				link := interp.NewLink(e)
+				link.Connected(func(p []byte) {}, time.Now())
+				say := func(text string) {
+					if err := link.Feed([]byte(text)); err != nil {
+						t.Fatalf("cut at %d: %v", cut, err)
+					}
+				}
+				say(`{"op":"BANNER","end":"WARM","ms":1}` + "\n" + `{"op":"TOPS","tag":"1","values":[0,0,0,0]}` + "\n")
+				link.Apply("a1", "part-lookup", []byte("x"))
+				text := fmt.Sprintf(notice, 1)
+				at := min(cut, len(text))
+				say(text[:at])
+				say(text[at:])
+				say(text) // twice under one number
+				if e.ended != 1 || e.result != "x" {
+					t.Fatalf("cut at %d: %d ends, %q", cut, e.ended, e.result)
+				}
+			}
+		})
+	}
+}
+
+// endings counts the ends of runs.
+type endings struct {
+	ended  int
+	result string
+}
+
+func (e *endings) Up(bool, time.Duration) {}
+func (e *endings) Awaits(string)          {}
+func (e *endings) Trouble(string, error)  {}
+func (e *endings) Ended(_ string, end interp.End, result []byte) {
+	if e.ended++; end == interp.EndOK {
+		e.result = string(result)
+	}
+}
