Have members in their slow start take their part of the turns, by every method and at any weight

At fault: member.weight in internal/pool scaled a whole weight and rounded up to 1, so a member of weight 1, the usual one, began at its full part; least_conn compared open tries by the full weight, so one with none open got all that came, from each process; the hash methods and random two never looked at the slow start; and after a time out the first tries came from all processes at once. TestLeastRanked asked for no member of full weight with less to do; a member of weight 1 in its slow start counted as one of full weight there.

--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -57,7 +57,7 @@
 		m.out, m.seen = false, window{}
 		p.ejected--
 		p.settle()
-		m.upSince, m.slow = now, m.SlowStart > 0
+		p.startSlowly(m, now)
 		p.note(now, m.Addr, "in", "its probing try went well")
 		return true
 	}
@@ -113,6 +113,7 @@
 	p.settle()
 	m.out, m.seen = true, window{}
 	m.ejected = now + p.cfg.EjectFor<<min(m.times, longestOut)
+	p.startSlowly(m, m.ejected)
 	m.times++
 	m.ejections++
 	p.note(now, m.Addr, "ejected", cause)
--- a/internal/pool/least.go
+++ b/internal/pool/least.go
@@ -135,7 +135,7 @@
 	if p.panicking() != p.ranks.panic {
 		p.rankAll() // ejections count again, or no longer
 	}
-	best := p.firstRanked(now, usable)
+	best := p.firstRanked(usable)
 	if m := p.firstDue(now, usable); m != nil && (best == nil || compareLoad(m, best) <= 0) {
 		best = m
 	}
@@ -147,20 +147,18 @@
 }
 
 // firstRanked is the first member in the order that the request has not been to, but one that does not have its full
-// weight yet gives up its turn by chance, so that it gets its part of them.
-func (p *Pool) firstRanked(now time.Duration, usable func(*member) bool) *member {
+// weight after failures gives up its turn by chance, so that it gets its part of them.
+func (p *Pool) firstRanked(usable func(*member) bool) *member {
 	var passed []*member // taken out of the order for this choice
 	var best *member
 	for skips := 0; len(p.ranks.in) > 0 && best == nil; {
 		m := p.ranks.in[0]
-		switch w := m.weight(now); {
+		switch {
 		case !usable(m):
 			passed = append(passed, heap.Pop(&p.ranks.in).(*member))
-		case w < m.Weight && skips < draws && p.rng.Float64()*float64(m.Weight) >= float64(w):
+		case m.effective < m.Weight && skips < draws && p.rng.Float64()*float64(m.Weight) >= float64(m.effective):
 			skips++
-			if m.effective < m.Weight {
-				m.effective++
-			}
+			m.effective++
 			p.ranks.turns++
 			m.turn = p.ranks.turns
 			heap.Fix(&p.ranks.in, 0)
--- a/internal/pool/least_test.go
+++ b/internal/pool/least_test.go
@@ -75,7 +75,7 @@
 					}
 					for _, m := range before {
 						probe := m.out || m.MaxFails > 0 && m.fails >= m.MaxFails
-						if !probe && m.weight(now) >= m.Weight && compareLoad(&m, &chosen) < 0 {
+						if inFull := !m.slow || now-m.upSince >= m.SlowStart; !probe && inFull && m.effective >= m.Weight && compareLoad(&m, &chosen) < 0 {
 							t.Fatalf("%s is chosen with %d open for %d, %s has %d for %d", addr, chosen.conns, chosen.Weight,
 								m.Addr, m.conns, m.Weight)
 						}
--- a/internal/pool/method.go
+++ b/internal/pool/method.go
@@ -11,7 +11,7 @@
 
 // roundRobin is nginx's smooth weighted round robin: each usable member gains its weight, the one with the most is
 // chosen and pays the sum of all.
-func (p *Pool) roundRobin(from []*member, now time.Duration, usable func(*member) bool) *member {
+func (p *Pool) roundRobin(from []*member, usable func(*member) bool) *member {
 	var best *member
 	total, calm := 0, true
 	for _, m := range from {
@@ -20,9 +20,8 @@
 			continue
 		}
 		calm = calm && m.effective == m.Weight && !m.slow
-		w := m.weight(now)
-		m.current += w
-		total += w
+		m.current += m.effective
+		total += m.effective
 		if m.effective < m.Weight {
 			m.effective++
 		}
@@ -100,20 +99,20 @@
 		return best
 	}
 	least := best
-	return p.roundRobin(from, now, func(m *member) bool {
+	return p.roundRobin(from, func(m *member) bool {
 		return usable(m) && m.conns*least.Weight == least.conns*m.Weight
 	})
 }
 
 // randomTwo is the less loaded of two members that are drawn by weight.
-func (p *Pool) randomTwo(from []*member, now time.Duration, usable func(*member) bool) *member {
+func (p *Pool) randomTwo(from []*member, usable func(*member) bool) *member {
 	a, b := p.draw(usable, nil), (*member)(nil)
 	if a != nil {
 		b = p.draw(usable, a)
 	}
 	switch {
 	case a == nil || b == nil:
-		return p.roundRobin(from, now, usable)
+		return p.roundRobin(from, usable)
 	case b.conns*a.Weight < a.conns*b.Weight:
 		return b
 	}
@@ -140,7 +139,7 @@
 }
 
 // ipHash is nginx's ip_hash: the first three bytes of an IPv4 address, or all of an IPv6 one.
-func (p *Pool) ipHash(r *Request, now time.Duration, usable func(*member) bool) *member {
+func (p *Pool) ipHash(r *Request, usable func(*member) bool) *member {
 	key := r.Key
 	if len(key) == net.IPv4len {
 		key = key[:3]
@@ -154,11 +153,11 @@
 			return m
 		}
 	}
-	return p.roundRobin(p.members[:p.primary], now, usable)
+	return p.roundRobin(p.members[:p.primary], usable)
 }
 
 // plainHash is nginx's hash without consistent.
-func (p *Pool) plainHash(r *Request, now time.Duration, usable func(*member) bool) *member {
+func (p *Pool) plainHash(r *Request, usable func(*member) bool) *member {
 	for range draws {
 		text := r.Key
 		if r.again > 0 {
@@ -170,7 +169,7 @@
 			return m
 		}
 	}
-	return p.roundRobin(p.members[:p.primary], now, usable)
+	return p.roundRobin(p.members[:p.primary], usable)
 }
 
 // point is a place of a member on the ring of the consistent hash.
@@ -233,7 +232,7 @@
 }
 
 // consistent is the member of the first point at or behind the key's hash that can be had.
-func (p *Pool) consistent(r *Request, now time.Duration, usable func(*member) bool) *member {
+func (p *Pool) consistent(r *Request, usable func(*member) bool) *member {
 	hash := crc32.ChecksumIEEE(r.Key)
 	start := sort.Search(len(p.ring), func(i int) bool { return p.ring[i].hash >= hash })
 	seen := map[*member]bool(nil)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,7 +28,10 @@
 	accessed, checked time.Duration // of the last failure, and of the last choice after one
 	failed            bool          // accessed and checked were ever set
 	upSince           time.Duration // since when it is in, for its slow start
-	slow              bool          // it is in its slow start
+	slow              bool          // it is in its slow start, or will be when its time out is over
+	credit            float64       // slow: turns that it may take
+	counted           uint64        // slow: choices of the pool up to which credit was given
+	grown             float64       // slow: its part of its weight at that time
 	probing           bool          // the one try that may show that it is back is under way
 
 	seen                       window // of its last tries
@@ -61,6 +64,7 @@
 	ejected  int      // members
 	failing  int      // members with as many failures as they may have
 	ranks    *ranking // of a large pool by least_conn, or nil
+	picks    uint64   // choices so far
 	budget   budget
 	changes  []Change
 }
@@ -103,8 +107,10 @@
 				delete(p.draining, c.Addr)
 			}
 			if m == nil {
-				m = &member{effective: c.Weight, upSince: now}
-				m.slow = c.SlowStart > 0 && len(old) > 0 // a pool that starts has no one to lean on
+				m = &member{Member: c, effective: c.Weight}
+				if len(old) > 0 { // a pool that starts has no one to lean on
+					p.startSlowly(m, now)
+				}
 				p.note(now, c.Addr, "joined", "the configuration")
 			}
 			m.Member, m.index, m.left = c, i, false
@@ -182,6 +188,10 @@
 		r.First = now
 		p.budget.first(now)
 	}
+	p.picks++
+	if m.slow {
+		m.credit--
+	}
 	r.tried[m] = true
 	r.Tries++
 	m.conns++
@@ -203,8 +213,22 @@
 		return p.next(r)
 	}
 	panicking := p.panicking()
+	held := false // one that could be had was passed over for its slow start
+	m := p.choose(p.members[:p.primary], r, now, func(m *member) bool {
+		if !p.usable(m, r, now, panicking) {
+			return false
+		}
+		if p.holdsBack(m, now) {
+			held = true
+			return false
+		}
+		return true
+	})
 	usable := func(m *member) bool { return p.usable(m, r, now, panicking) }
-	if m := p.choose(p.members[:p.primary], r, now, usable); m != nil {
+	if m == nil && held {
+		m = p.choose(p.members[:p.primary], r, now, usable) // there is no other
+	}
+	if m != nil {
 		return m
 	}
 	if p.primary < len(p.members) {
@@ -219,15 +243,15 @@
 	case LeastConn:
 		return p.leastConn(from, now, usable)
 	case IPHash:
-		return p.ipHash(r, now, usable)
+		return p.ipHash(r, usable)
 	case Hash:
-		return p.plainHash(r, now, usable)
+		return p.plainHash(r, usable)
 	case HashConsistent:
-		return p.consistent(r, now, usable)
+		return p.consistent(r, usable)
 	case RandomTwo:
-		return p.randomTwo(from, now, usable)
+		return p.randomTwo(from, usable)
 	}
-	return p.roundRobin(from, now, usable)
+	return p.roundRobin(from, usable)
 }
 
 // Outcome is how a try at a member ended.
@@ -283,6 +307,7 @@
 	}
 	if out := m.MaxFails > 0 && m.fails >= m.MaxFails; out && !before {
 		p.failing++
+		p.startSlowly(m, now+m.FailTimeout)
 		p.note(now, m.Addr, "out", "its failures")
 	}
 }
@@ -295,22 +320,40 @@
 	if m.MaxFails > 0 && m.fails >= m.MaxFails {
 		p.failing--
 		p.note(now, m.Addr, "in", "a try went well")
-		m.upSince, m.slow = now, m.SlowStart > 0
+		p.startSlowly(m, now)
 	}
 	m.fails = 0
 }
 
-// weight is a member's weight at the moment: less after failures, and growing in its slow start.
-func (m *member) weight(now time.Duration) int {
-	w := m.effective
+// slowPart is how much of its growing part a member in its slow start gets: many processes send to it, each by a count
+// of its own, and the sum of what they send at any moment scatters round the mean.
+const slowPart = 0.85
+
+// startSlowly has a member grow to its weight from a time on, which may be the end of its time out. Processes begin their
+// counts at random, or the first turns of all of them would come at once; and each gives up half a turn, as the first
+// ones count most: next to nothing may come then.
+func (p *Pool) startSlowly(m *member, from time.Duration) {
+	m.upSince, m.slow = from, m.SlowStart > 0
 	if m.slow {
-		if passed := now - m.upSince; passed >= m.SlowStart {
-			m.slow = false
-		} else {
-			w = max(int(float64(w)*float64(passed)/float64(m.SlowStart)), 1)
-		}
+		m.credit, m.counted, m.grown = p.rng.Float64()-0.5, p.picks, 0
+	}
+}
+
+// holdsBack tells whether a member in its slow start has no turn yet. Weights are whole numbers, so one of weight 1
+// could not grow to it; and by least_conn, with nothing open, it would get all that comes until it has as much as the
+// others, from each process that sends to it. So it takes no more turns than its part of those that the pool gave.
+func (p *Pool) holdsBack(m *member, now time.Duration) bool {
+	if m.slow && now-m.upSince >= m.SlowStart {
+		m.slow = false
+	}
+	if !m.slow || m.Backup {
+		return false
 	}
-	return w
+	grown := float64(max(now-m.upSince, 0)) / float64(m.SlowStart)
+	turns := float64(p.picks-m.counted) * float64(m.Weight) / float64(p.sum[p.primary-1])
+	m.credit = min(m.credit+slowPart*turns*(m.grown+grown)/2, 1)
+	m.counted, m.grown = p.picks, grown
+	return m.credit < 1
 }
 
 // State is how a member is.
