Have the link in step as soon as the interpreter is up, not at the next look by the clock

At fault: Link.notice in internal/interp told the trouble and left the question open. It was given up after 2 s, and only a look every 200 ms asked again: a server whose interpreter had come up announced itself and held requests, but asked for no run for up to 200 ms, and for up to 2 s where the interpreter came up that soon after the connect. Mend: a question that is turned away is over; the banner asks again where the link is not in step. Before the banner this is no trouble and is not logged. At a site that allows no TOP the ERROR shows as well that the link is in step: nothing would ever have been run there. Both tests fail without the mend. Stand-in interpreters turn questions away until they are up, as the platform's do.

--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -48,6 +49,7 @@
 	due    time.Time
 	gauges func(values []float64, ok bool)
 	smoke  func(ok bool)
+	sync   bool // any answer tells that the notices before it were read
 }
 
 // Counters count what went over the link.
@@ -77,6 +79,7 @@
 	order   []*run // in the order of asking; those over are dropped when the link is synced
 	asks    []asked
 	tags    uint64
+	now     time.Time // when the owner last told the time
 	Count   Counters
 }
 
@@ -88,7 +91,7 @@
 // Connected starts the dialogue on a new connection.
 func (l *Link) Connected(send func(p []byte), now time.Time) {
 	l.Lost()
-	l.send = send
+	l.send, l.now = send, now
 	l.Count.Links++
 	last := l.last
 	l.write(command{Op: opConnect, Seq: &last})
@@ -98,7 +101,7 @@
 // sync asks for a sign that the notices sent after BANNER were read.
 func (l *Link) sync(now time.Time) {
 	l.syncing = true
-	l.ask(opTop, now, asked{gauges: func(_ []float64, ok bool) {
+	l.ask(opTop, now, asked{sync: true, gauges: func(_ []float64, ok bool) {
 		l.syncing = false
 		if ok {
 			l.resume()
@@ -236,6 +239,7 @@
 
 // Tick gives up questions that stayed unanswered; the sign that the link is in step is asked for again.
 func (l *Link) Tick(now time.Time) {
+	l.now = now
 	l.expire(func(a asked) bool { return !now.Before(a.due) })
 	if l.banner && !l.synced && !l.syncing {
 		l.sync(now)
@@ -295,6 +299,11 @@
 			l.up = true
 			l.handler.Up(n.End == "COLD", n.age())
 		}
+		// An interpreter that was not up yet turned the question behind CONNECT away. What comes now must not wait for the
+		// next look at that.
+		if !l.synced && !l.syncing {
+			l.sync(l.now)
+		}
 	case opValue:
 		l.ended(n.ID, End(n.End), n.Body)
 	case opAwait:
@@ -306,6 +315,10 @@
 	case opTops, opSmoked:
 		l.answered(n)
 	case opError:
+		if n.End == opTop || n.End == opSmoke {
+			l.unasked(n)
+			return
+		}
 		l.handler.Trouble("interpreter turned a command away", fmt.Errorf("%s %s", n.End, n.ID))
 		if n.End == opApply {
 			l.rejected(n.ID)
@@ -316,6 +329,23 @@
 	}
 }
 
+// unasked ends a question that was turned away: as long as the interpreter is not up, and where the site does not allow
+// it. The latter is an answer as good as any to show that the link is in step.
+func (l *Link) unasked(n *notice) {
+	i := slices.IndexFunc(l.asks, func(a asked) bool { return a.tag == cmp.Or(n.Tag, n.ID) })
+	if i < 0 {
+		l.Count.Unknown++
+		return
+	}
+	a := l.asks[i]
+	l.asks = slices.Delete(l.asks, i, i+1)
+	l.Count.Unanswered++
+	if l.banner {
+		l.handler.Trouble("interpreter turned a command away", fmt.Errorf("%s %s", n.End, a.tag))
+	}
+	a.answer(nil, a.sync && l.banner)
+}
+
 // rejected reports that a command to run a request was turned away. Where it was given more than once, an
 // earlier one may have been carried out.
 func (l *Link) rejected(id string) {
--- a/internal/interp/link_test.go
+++ b/internal/interp/link_test.go
@@ -114,6 +114,39 @@
 	}
 }
 
+// TestNotUpYet has the interpreter turn the question behind CONNECT away as it is not up, which the platform's does: runs
+// are asked for as soon as it has come up, without a look by the clock in between.
+func TestNotUpYet(t *testing.T) {
+	e := newEar(t)
+	e.link.Connected(e.write, start)
+	e.link.Apply("a1", "look", nil)
+	e.say(`{"op":"ERROR","end":"TOP","id":"1"}`)
+	e.expect([]string{"CONNECT 0"}, nil)
+	e.say(`{"op":"BANNER","end":"COLD","ms":0}`)
+	e.say(fmt.Sprintf(`{"op":"TOPS","tag":%q,"values":[0,0,0,0]}`, e.tags["TOP"]))
+	e.expect([]string{`APPLY a1 look ""`}, []string{"up true 0s"})
+}
+
+// TestNoGauges has a site that allows no TOP: an answer of that kind shows as well that the link is in step, and whoever
+// asks for gauges hears at once that there are none.
+func TestNoGauges(t *testing.T) {
+	e := newEar(t)
+	e.link.Connected(e.write, start)
+	e.say(`{"op":"BANNER","end":"WARM","ms":20}`, `{"op":"ERROR","end":"TOP","id":"1"}`)
+	e.link.Apply("a1", "look", nil)
+	e.expect([]string{"CONNECT 0", `APPLY a1 look ""`}, []string{upWarm, "trouble TOP 1"})
+	asked, got := false, true
+	e.link.Top(start, func(_ []float64, ok bool) { asked, got = true, ok })
+	e.say(fmt.Sprintf(`{"op":"ERROR","end":"TOP","id":%q}`, e.tags["TOP"]))
+	if !asked || got {
+		t.Errorf("gauges that can't be had: asked %t, ok %t", asked, got)
+	}
+	e.say(`{"op":"ERROR","end":"SMOKE","id":"77"}`) // of no question there is
+	if e.link.Count.Unknown != 1 {
+		t.Errorf("%d unknown notices, want 1", e.link.Count.Unknown)
+	}
+}
+
 // TestLateBanner holds commands back until the interpreter has come up, and hears of its start once.
 func TestLateBanner(t *testing.T) {
 	e := newEar(t)
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -289,11 +289,15 @@
 		if it.labour != nil {
 			it.labourOn(it.labour) // the gauge is that of now
 		}
-		if !it.mute {
+		if !it.up { // the platform's does so
+			it.write(message{Op: "ERROR", End: m.Op, ID: m.Tag})
+		} else if !it.mute {
 			it.write(message{Op: "TOPS", Tag: m.Tag, Values: []float64{it.busy, float64(len(it.running)), 0, 0}})
 		}
 	case "SMOKE":
-		if !it.mute {
+		if !it.up {
+			it.write(message{Op: "ERROR", End: m.Op, ID: m.Tag})
+		} else if !it.mute {
 			it.write(message{Op: "SMOKED", Tag: m.Tag, End: "OK"})
 		}
 	default:
