Rest after any error of accept, and take a connection that broke at once for no error

An error of accept but for those that were known left the listener ready, and the loop turned round it until it went: 20 s of that are a crash on the platform. And where TCP_NODELAY could not be set on a connection that its caller had reset right after the accept, the look for callers ended with an error.

--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -94,8 +94,9 @@
 				return
 			}
 		case err == unix.EINTR || err == unix.ECONNABORTED:
-		default:
+		default: // as likely to come again at once
 			ln.errs = append(ln.errs, err)
+			ln.rest()
 			return
 		}
 	}
--- a/internal/loop/system.go
+++ b/internal/loop/system.go
@@ -108,13 +108,16 @@
 // Listen implements System.
 func (Kernel) Listen(fd, backlog int) error { return unix.Listen(fd, backlog) }
 
-// Accept implements System.
+// Accept implements System. A connection that can't be set up has broken already, and says nothing of the next.
 func (Kernel) Accept(fd int) (int, error) {
 	c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	if err != nil {
 		return -1, err
 	}
-	return withoutDelay(c)
+	if c, err = withoutDelay(c); err != nil {
+		return -1, unix.ECONNABORTED
+	}
+	return c, nil
 }
 
 // Connect implements System.
