--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -75,31 +75,33 @@
 }
 
 // gather implements source.
-func (ln *Listener) gather(uint32) { ln.accept() }
+func (ln *Listener) gather(uint32) {
+	if !ln.accept() {
+		ln.rest() // left alone, the listener would stay ready and turn the loop into a spin
+	}
+}
 
-// accept takes connections until none waits.
-func (ln *Listener) accept() {
+// accept takes connections until none waits, and tells whether it could.
+func (ln *Listener) accept() bool {
 	for range acceptMost {
 		fd, err := ln.loop.system.Accept(ln.fd)
 		switch {
 		case err == nil:
 			ln.fds = append(ln.fds, fd)
 		case err == unix.EAGAIN:
-			return
+			return true
 		case err == unix.EMFILE || err == unix.ENFILE:
-			// Left alone, the listener would stay ready and turn the loop into a spin.
 			ln.errs = append(ln.errs, err)
 			if !ln.shed() {
-				ln.rest()
-				return
+				return false
 			}
 		case err == unix.EINTR || err == unix.ECONNABORTED:
 		default: // as likely to come again at once
 			ln.errs = append(ln.errs, err)
-			ln.rest()
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // shed gives up the spare descriptor to accept one connection and close it, so that its caller hears at once.
--- a/internal/rehearsal/node.go
+++ b/internal/rehearsal/node.go
@@ -37,6 +37,8 @@
 	leaving     bool
 	stopped     time.Duration // when it was told to leave
 	stood       time.Duration // until when its machine stood still
+	started     time.Duration // in this life
+	runs        int           // in all lives
 }
 
 func newNode(r *run, number int) *node {
@@ -61,7 +63,13 @@
 	it.Work(n.run.scenario.Cores, func(a standin.Apply) time.Duration {
 		return time.Duration(float64(standin.BodyWork(a)) * n.slow)
 	})
-	it.OnApply(func(a standin.Apply) { n.run.ran(a.ID) })
+	it.OnApply(func(a standin.Apply) {
+		n.runs++
+		n.run.ran(a.ID)
+	})
+	if n.run.cold && n.life > 0 {
+		it.Cold()
+	}
 	n.interpreter = it
 }
 
@@ -97,6 +105,7 @@
 		}
 	}
 	n.life++
+	n.started = n.run.world.Elapsed()
 	n.leaving, n.dead, n.counters = false, false, &counters{}
 	n.process = n.run.world.Start(n.name(), n.host, n.run.scenario.Files, func(p *simos.Process) error {
 		s, err := server.NewOn(p, n.config(), zap.New(n.counters))
--- a/internal/rehearsal/run.go
+++ b/internal/rehearsal/run.go
@@ -77,12 +77,22 @@
 	tries     int
 	jump      float64
 	over      bool // no further tries are made
+	cold      bool // interpreters that come back after a death are cold, as the platform's are
 	latency   *hdrhistogram.Histogram
 	report    *Report
 }
 
 // Run plays a scenario. The same seed gives the same report.
 func Run(s *Scenario, seed uint64) (*Report, error) {
+	r, err := newRun(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	return r.play(), nil
+}
+
+// newRun has everything stand ready.
+func newRun(s *Scenario, seed uint64) (*run, error) {
 	told, err := settings.Parse([]byte(standin.Settings))
 	if err != nil {
 		return nil, fmt.Errorf("rehearsal: %w", err)
@@ -103,6 +113,12 @@
 		r.plan(i)
 	}
 	r.world.After(warm, r.arrive)
+	return r, nil
+}
+
+// play goes through the day.
+func (r *run) play() *Report {
+	s := r.scenario
 	end := warm + s.Length + standin.ReserveDeadline
 	r.world.Run(end)
 	r.over = true
@@ -118,7 +134,7 @@
 		n.leave(nil)
 	}
 	r.world.Run(end + settleFor)
-	return r.finish(), nil
+	return r.finish()
 }
 
 // heard takes in an announcement.
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	up      bool      // BANNER may be sent
+	cold    bool      // it was cold at its start
 	mute    bool      // SMOKE and TOP are not answered
 	prompt  bool      // runs end at once
 	busy    float64   // the first gauge
@@ -202,6 +203,16 @@
 // Down has the interpreter not come up yet.
 func (it *Interpreter) Down() { it.set(func() { it.up = false }) }
 
+// Cold has the interpreter say that it was cold at its start.
+func (it *Interpreter) Cold() { it.set(func() { it.cold = true }) }
+
+// Running is how many runs have begun and not ended.
+func (it *Interpreter) Running() int {
+	it.mu.Lock()
+	defer it.mu.Unlock()
+	return len(it.running)
+}
+
 // Start lets the interpreter come up.
 func (it *Interpreter) Start() {
 	it.set(func() {
@@ -332,7 +343,11 @@
 		return
 	}
 	it.waiting = false
-	it.write(message{Op: "BANNER", End: "WARM", MS: 1})
+	state := "WARM"
+	if it.cold {
+		state = "COLD"
+	}
+	it.write(message{Op: "BANNER", End: state, MS: 1})
 	for _, n := range it.notices {
 		if n.Seq > it.seen {
 			it.write(n)
