Use no idle connection to a member again for which something waits

Read for crossings and forced on loopback: a member that restarts ends its idle connections; where the word of that lay unread as a request came in the same round, the request was written to such a connection, and one that must not run twice was given up as one that may have run (status 500, where the member was there and well). At fault: Link.attach in internal/forward took the idle connection used last without a look. It looks now, closes one for which its end or a byte waits, and goes on with the next or a new one. The test fails without the mend.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -225,10 +225,15 @@
 // attach gives a job a connection to the member.
 func (l *Link) attach(w *job, addr string) error {
 	t := w.target
-	if list := t.idle[addr]; len(list) > 0 {
+	for len(t.idle[addr]) > 0 {
+		list := t.idle[addr]
 		c := list[len(list)-1]
 		t.idle[addr] = list[:len(list)-1]
 		t.kept--
+		if c.conn.Waiting() { // its end, most likely: a request that must not run twice would be lost on it
+			c.close()
+			continue
+		}
 		l.Count.Reused++
 		c.take(w)
 		c.send()
--- a/server/routed_test.go
+++ b/server/routed_test.go
@@ -337,6 +337,29 @@
 	}
 }
 
+// TestCrossMemberEnd has a member end its idle connections, as one that restarts does, while the word of it lies unread and a
+// request that must not run twice comes: it goes by a new connection, and is not given up as one that may have run.
+func TestCrossMemberEnd(t *testing.T) {
+	a := member(t, "a")
+	s, g := serveRoutes(t, describe(t, strings.Replace(routes, "(member @B)", "", 1), a))
+	g.Write(get("/book", "x").With("Once-Key", "k1").Records(1))
+	if ans := g.Answer(1); ans.Status != 200 {
+		t.Fatalf("answer %+v", ans)
+	}
+	do(s, func() {
+		for c := range s.connections() {
+			c.Data(c.conn, get("/book", "y").With("Once-Key", "k2").Records(2))
+		}
+		a.Stop()
+		if err := a.Start(); err != nil {
+			t.Error(err)
+		}
+	})
+	if ans := g.Answer(2); ans.Status != 200 {
+		t.Errorf("answer %+v", ans)
+	}
+}
+
 // TestReroute has members come and go while requests are open: those that left end what they have.
 func TestReroute(t *testing.T) {
 	a, b := member(t, "a"), member(t, "b")
