Send the report again that only told of the one before

Read for crossings and forced on loopback: a datagram to a service that is down comes back as an error of the next write, and that write sends nothing. So the first report after the announce service had come back was never sent, and a server entered the list again a report later. At fault: Report in internal/announce. It writes once more after an error, which is still counted. The test fails without that.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -29,9 +29,12 @@
 	return &Reporter{system: system, fd: fd, name: name}, nil
 }
 
-// Report sends one report.
+// Report sends one report. That nobody heard the one before is told by an error of the next write, which sends nothing
+// then, though the service may be back: one more goes out in its place, and the error is handed on.
 func (r *Reporter) Report(accepting bool) error {
-	if _, err := r.system.Write(r.fd, fmt.Appendf(nil, "announce %s %t", r.name, accepting)); err != nil {
+	report := fmt.Appendf(nil, "announce %s %t", r.name, accepting)
+	if _, err := r.system.Write(r.fd, report); err != nil {
+		r.system.Write(r.fd, report) // where that fails, too, the next is due soon
 		return fmt.Errorf("announce: %w", err)
 	}
 	return nil
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -44,3 +44,31 @@
 	r.Report(true)
 	expect(true, "announce n3 true")
 }
+
+// TestServiceBack has the service come back after a report that nobody heard: the next one arrives.
+func TestServiceBack(t *testing.T) {
+	service, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := service.LocalAddr().(*net.UDPAddr)
+	r, err := New(loop.Kernel{}, addr.AddrPort(), "n3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	service.Close()
+	r.Report(true)
+	if service, err = net.ListenUDP("udp4", addr); err != nil {
+		t.Skip("the address is taken")
+	}
+	defer service.Close()
+	if err := r.Report(true); err == nil {
+		t.Error("that nobody heard the first was not told")
+	}
+	service.SetReadDeadline(time.Now().Add(testkit.Patience))
+	buf := make([]byte, 100)
+	if n, err := service.Read(buf); err != nil || string(buf[:n]) != "announce n3 true" {
+		t.Errorf("read %q, %v", buf[:n], err)
+	}
+}
