Close no connection as resting on which a request has begun to come

Read for crossings and forced on loopback: with up to seven bytes of a request's first record read, a connection counted as one without an open request, so it was closed as soon as it had rested for the time set: 10 ms near the end of a drain's grace. At fault: closeIdle and makeRoom in server/idle.go asked for open requests only, and a request opens with its first whole record.

--- a/server/crossings_test.go
+++ b/server/crossings_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestCrossSlowWriter has the first bytes of a request be there as connections are closed that have rested: it comes whole
+// and is answered.
+func TestCrossSlowWriter(t *testing.T) {
+	s, it := run(t)
+	it.Prompt()
+	for cut := 1; cut < 24; cut++ {
+		g := testkit.Dial(t, s.cfg.Listen.String())
+		check(g, false)
+		whole := standin.Lookup("slowly").Records(2)
+		g.Write(whole[:cut])
+		nextRound(s)
+		do(s, func() {
+			idle := s.idle
+			s.idle = time.Nanosecond
+			s.closeIdle()
+			s.idle = idle
+		})
+		g.Write(whole[cut:])
+		if a, err := g.TryAnswer(2); err != nil || a.Status != 200 && a.Status != 503 {
+			t.Fatalf("%d bytes before, the rest after: %+v, %v", cut, a, err)
+		}
+	}
+}
+
 // TestCrossUnfinished has the rest of a request come as the connection is closed for being late with it.
 func TestCrossUnfinished(t *testing.T) {
 	system := crossing.New()
--- a/server/idle.go
+++ b/server/idle.go
@@ -27,6 +27,10 @@
 // owed tells whether requests of the connection are owed an answer.
 func (g *gateway) owed() bool { return len(g.tries)+len(g.smokes) > 0 }
 
+// resting tells whether nothing is under way on the connection: no request is open, and none has come in part. A gateway
+// may write slowly.
+func (g *gateway) resting() bool { return g.session.Open() == 0 && !g.session.Unfinished() }
+
 // overdue tells whether a connection has to go, as it has not sent a whole request in time.
 func (g *gateway) overdue(now time.Time) bool {
 	return !g.conn.Closing() && !g.since.IsZero() && now.Sub(g.since) >= unfinishedMost && !g.owed()
@@ -55,7 +59,7 @@
 		case g.overdue(now):
 			s.count.unfinished++
 			g.finish()
-		case s.idle > 0 && !g.conn.Closing() && g.session.Open() == 0 && g.conn.Quiet(g.rest(s.idle)):
+		case s.idle > 0 && !g.conn.Closing() && g.resting() && g.conn.Quiet(g.rest(s.idle)):
 			s.count.idleClosed++
 			g.finish()
 		}
@@ -98,7 +102,7 @@
 			if now.Sub(g.since) >= freshFor {
 				rank = 2
 			}
-		case g.session.Open() == 0 && now.Sub(g.conn.Active()) >= restFor:
+		case g.resting() && now.Sub(g.conn.Active()) >= restFor:
 			rank = 1
 		}
 		if (rank > best || rank == best && rank > 0 && g.conn.Active().Before(victim.conn.Active())) &&
