Free the key of a request whose run the interpreter never heard of

Read for crossings and forced on loopback: a keyed request that is due while the link is down is failed, and its run is withdrawn, as it was never asked for; but its key still counted as run, so every further try of the request failed for the whole window, with the interpreter back and idle. At fault: withdraw in server/actions.go; the other two ways on which nothing ran, a command that was turned away and an intent that was not written, freed the key. The test fails without the mend: its further try is never run.

--- a/server/actions.go
+++ b/server/actions.go
@@ -96,6 +96,7 @@
 		return false
 	}
 	t.state = broken
+	a.unclaim(t)
 	a.after(func() { a.over(t, tillerusher.Cancelled) })
 	return true
 }
--- a/server/crossings_test.go
+++ b/server/crossings_test.go
@@ -336,6 +336,36 @@
 	}
 }
 
+// TestCrossLinkDown has a keyed request be due while the link is down, so that the interpreter never heard of its run: a
+// further try is run once the link stands, as the first never was.
+func TestCrossLinkDown(t *testing.T) {
+	told := testTold(t)
+	told.Module.Classes[1].Deadline = 300 * time.Millisecond
+	s, it := runAt(t, told)
+	g := testkit.Dial(t, s.cfg.Listen.String())
+	it.Refuse(true)
+	it.Cut()
+	testkit.Wait(t, "the link to be lost", func() (lost bool) {
+		do(s, func() { lost = !s.link.Ready() })
+		return lost
+	})
+	g.Write(standin.Reserve(1, "x").Records(1))
+	if a := g.Answer(1); a.Status != 500 {
+		t.Errorf("due with the link down: %+v", a)
+	}
+	it.Refuse(false)
+	testkit.Wait(t, "a new link", func() (stands bool) {
+		do(s, func() { stands = s.link.Ready() })
+		return stands
+	})
+	g.Write(standin.Reserve(1, "x").With("Attempt-Again", "1").Records(2))
+	runs := it.WaitApplied(1)
+	it.End(runs[0].ID, "OK", []byte("result"))
+	if a := g.Answer(2); len(runs) != 1 || a.Status != 200 && a.Status != 500 { // 500 where the machine is slow
+		t.Errorf("a further try: %+v, runs %v", a, runs)
+	}
+}
+
 // TestCrossReset has callers reset their connection right after it was accepted, before and after it is first read,
 // with nothing, half a request or a whole one sent: the server goes on, and holds nothing of them.
 func TestCrossReset(t *testing.T) {
--- a/server/requests.go
+++ b/server/requests.go
@@ -133,10 +133,7 @@
 		s.over(t, tillerusher.Cancelled)
 	case interp.EndRejected:
 		s.count.errored++
-		s.keys.disclaim(t) // nothing ran: the key is free for the request that it belongs to
-		if t.keyed && t.once && s.journal != nil {
-			s.journal.free(t)
-		}
+		s.unclaim(t)
 		s.over(t, tillerusher.Moot)
 	case interp.EndMoot:
 		s.count.moot++
@@ -147,6 +144,14 @@
 	}
 }
 
+// unclaim has the key of a try be free for the request that it belongs to: nothing ran.
+func (s *Server) unclaim(t *try) {
+	s.keys.disclaim(t)
+	if t.keyed && t.once && s.journal != nil {
+		s.journal.free(t)
+	}
+}
+
 // over ends a run that made no result. The answer that may still be owed is a failure: whether anything was
 // done is not known.
 func (s *Server) over(t *try, o tillerusher.Outcome) {
