Give up a write to the folder that never ends, and the engine with it

The writer waits in engine.guard; the commit waits for Pebble's mutex, which a flush that failed never gave back, and Fatalf was not called, so nothing told of a failure. Ruled out: the writer's own locks, and abandon. At fault: commit in internal/store trusted that Pebble either ends a write or tells its failure. Mend: after 5 s the disk is asked by the probe that is there for openings; where it takes that down or fails it, the engine is given up like one that failed, and the write is told as failed, which may be there or not. TestErrors raced in a flag of its own with -race: it is atomic now.

--- a/internal/store/engine.go
+++ b/internal/store/engine.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -29,11 +30,14 @@
 	errCutOff  = errors.New("store: cut off after a failure")
 	errStands  = errors.New("store: the disk stands still")
 	errWornOut = errors.New("store: it failed too often to be taken up again")
+	errStuck   = errors.New("store: a write does not end, though the disk takes others down")
 )
 
 const (
 	// closePatience is how long the end of an engine is waited for.
 	closePatience = 500 * time.Millisecond
+	// stuckAfter is how long a write may take before the disk is asked whether it takes down others meanwhile.
+	stuckAfter = 5 * time.Second
 	// mostFiles is how many files may wait to be rewritten: so many that writes never wait for it. Reads are at the start only.
 	mostFiles = 1 << 20
 	// mostStuck is how many engines may fail without an end. Each holds on to about a megabyte.
@@ -141,6 +145,27 @@
 	return e.guard(func() error { return work(e.db) })
 }
 
+// write is do, but gives up where that does not end though the disk takes others down or fails: Pebble may stand still after
+// a write that failed, and say nothing. While the disk itself stands still there is nothing to do but wait.
+func (e *engine) write(work func(db *pebble.DB) error, probe func() error, patience time.Duration) error {
+	ended := make(chan error, 1)
+	go func() { ended <- e.do(work) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(patience):
+	}
+	probed := make(chan error, 1)
+	go func() { probed <- probe() }()
+	select {
+	case err := <-ended:
+		return err
+	case err := <-probed:
+		e.fail(cmp.Or(err, errStuck)) // an engine that failed or went on just now is given up all the same
+		return <-ended
+	}
+}
+
 // close ends an engine, or leaves it behind where it does not end soon.
 func (e *engine) close() error {
 	ended := make(chan error, 1)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"sync"
 	"testing"
 	"time"
@@ -218,17 +219,19 @@
 		for index := int32(0); ; index++ {
 			fsys := vfs.NewMem()
 			at := errorfs.OnIndex(index)
-			hit := false
+			var hit atomic.Bool // files are removed in the background
 			down := map[string]string{}
 			err := script(errorfs.Wrap(fsys, errorfs.InjectorFunc(func(op errorfs.Op, path string) error {
-				if hit && forever {
+				if hit.Load() && forever {
 					return errorfs.ErrInjected
 				}
 				err := at.MaybeError(op, path)
-				hit = hit || err != nil
+				if err != nil {
+					hit.Store(true)
+				}
 				return err
 			})), down)
-			if !hit {
+			if !hit.Load() {
 				break // the script has no more calls
 			}
 			injected++
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -123,7 +123,7 @@
 	for _, o := range batch {
 		n += uint64(len(o.changes))
 	}
-	if err := e.do(func(db *pebble.DB) error { return writeBatch(db, batch) }); err != nil {
+	if err := e.write(func(db *pebble.DB) error { return writeBatch(db, batch) }, w.store.probe, stuckAfter); err != nil {
 		w.store.abandon(e)
 		return fmt.Errorf("store: %w", err)
 	}
