--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -10,8 +10,8 @@
 	"math/rand/v2"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
