--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -9,18 +9,25 @@
 	"tillerusher/internal/testkit"
 )
 
-// TestReport sends both reports, and goes on after the service was away.
-func TestReport(t *testing.T) {
+// reporting is a reporter that ends with the test, and the service that it reports to.
+func reporting(t *testing.T) (r *Reporter, service *net.UDPConn, addr *net.UDPAddr) {
+	t.Helper()
 	service, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := service.LocalAddr().(*net.UDPAddr)
-	r, err := New(loop.Kernel{}, addr.AddrPort(), "n3")
-	if err != nil {
+	addr = service.LocalAddr().(*net.UDPAddr)
+	if r, err = New(loop.Kernel{}, addr.AddrPort(), "n3"); err != nil {
 		t.Fatal(err)
 	}
-	defer r.Close()
+	t.Cleanup(r.Close)
+	return r, service, addr
+}
+
+// TestReport sends both reports, and goes on after the service was away.
+func TestReport(t *testing.T) {
+	r, service, addr := reporting(t)
+	var err error
 	buf := make([]byte, 100)
 	expect := func(accepting bool, want string) {
 		t.Helper()
@@ -47,16 +54,8 @@
 
 // TestServiceBack has the service come back after a report that nobody heard: the next one arrives.
 func TestServiceBack(t *testing.T) {
-	service, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := service.LocalAddr().(*net.UDPAddr)
-	r, err := New(loop.Kernel{}, addr.AddrPort(), "n3")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Close()
+	r, service, addr := reporting(t)
+	var err error
 	service.Close()
 	r.Report(true)
 	if service, err = net.ListenUDP("udp4", addr); err != nil {
--- a/internal/interp/link.go
+++ b/internal/interp/link.go
@@ -95,13 +95,13 @@
 	l.Count.Links++
 	last := l.last
 	l.write(command{Op: opConnect, Seq: &last})
-	l.sync(now)
+	l.sync()
 }
 
 // sync asks for a sign that the notices sent after BANNER were read.
-func (l *Link) sync(now time.Time) {
+func (l *Link) sync() {
 	l.syncing = true
-	l.ask(opTop, now, asked{sync: true, gauges: func(_ []float64, ok bool) {
+	l.ask(opTop, l.now, asked{sync: true, gauges: func(_ []float64, ok bool) {
 		l.syncing = false
 		if ok {
 			l.resume()
@@ -242,7 +242,7 @@
 	l.now = now
 	l.expire(func(a asked) bool { return !now.Before(a.due) })
 	if l.banner && !l.synced && !l.syncing {
-		l.sync(now)
+		l.sync()
 	}
 }
 
@@ -302,7 +302,7 @@
 		// An interpreter that was not up yet turned the question behind CONNECT away. What comes now must not wait for the
 		// next look at that.
 		if !l.synced && !l.syncing {
-			l.sync(l.now)
+			l.sync()
 		}
 	case opValue:
 		l.ended(n.ID, End(n.End), n.Body)
@@ -332,13 +332,10 @@
 // unasked ends a question that was turned away: as long as the interpreter is not up, and where the site does not allow
 // it. The latter is an answer as good as any to show that the link is in step.
 func (l *Link) unasked(n *notice) {
-	i := slices.IndexFunc(l.asks, func(a asked) bool { return a.tag == cmp.Or(n.Tag, n.ID) })
-	if i < 0 {
-		l.Count.Unknown++
+	a, found := l.asked(cmp.Or(n.Tag, n.ID), n.End == opTop)
+	if !found {
 		return
 	}
-	a := l.asks[i]
-	l.asks = slices.Delete(l.asks, i, i+1)
 	l.Count.Unanswered++
 	if l.banner {
 		l.handler.Trouble("interpreter turned a command away", fmt.Errorf("%s %s", n.End, a.tag))
@@ -369,15 +366,24 @@
 	l.handler.Ended(id, end, result)
 }
 
-// answered hands on the answer to a question; a late one is passed over.
-func (l *Link) answered(n *notice) {
-	i := slices.IndexFunc(l.asks, func(a asked) bool { return a.tag == n.Tag })
-	if i < 0 || (l.asks[i].gauges != nil) != (n.Op == opTops) {
+// asked takes out the question with a tag, for gauges or for a deep check; what fits none is counted.
+func (l *Link) asked(tag string, gauges bool) (asked, bool) {
+	i := slices.IndexFunc(l.asks, func(a asked) bool { return a.tag == tag })
+	if i < 0 || (l.asks[i].gauges != nil) != gauges {
 		l.Count.Unknown++
-		return
+		return asked{}, false
 	}
 	a := l.asks[i]
 	l.asks = slices.Delete(l.asks, i, i+1)
+	return a, true
+}
+
+// answered hands on the answer to a question; a late one is passed over.
+func (l *Link) answered(n *notice) {
+	a, found := l.asked(n.Tag, n.Op == opTops)
+	if !found {
+		return
+	}
 	for _, r := range l.runs {
 		r.taken = r.taken || r.current && r.tag < a.number
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -213,18 +213,16 @@
 		return p.next(r)
 	}
 	panicking := p.panicking()
+	usable := func(m *member) bool { return p.usable(m, r, now, panicking) }
 	held := false // one that could be had was passed over for its slow start
 	m := p.choose(p.members[:p.primary], r, now, func(m *member) bool {
-		if !p.usable(m, r, now, panicking) {
-			return false
-		}
-		if p.holdsBack(m, now) {
-			held = true
+		if !usable(m) {
 			return false
 		}
-		return true
+		back := p.holdsBack(m, now)
+		held = held || back
+		return !back
 	})
-	usable := func(m *member) bool { return p.usable(m, r, now, panicking) }
 	if m == nil && held {
 		m = p.choose(p.members[:p.primary], r, now, usable) // there is no other
 	}
--- a/internal/standin/interpreter.go
+++ b/internal/standin/interpreter.go
@@ -273,6 +273,10 @@
 	if it.refuse || l.rank.under(it.rank) || m.Op != "CONNECT" && it.link != l {
 		return false
 	}
+	if !it.up && (m.Op == "TOP" || m.Op == "SMOKE") { // the platform's does so
+		it.write(message{Op: "ERROR", End: m.Op, ID: m.Tag})
+		return true
+	}
 	switch m.Op {
 	case "CONNECT":
 		if it.link != nil && it.link != l {
@@ -300,15 +304,11 @@
 		if it.labour != nil {
 			it.labourOn(it.labour) // the gauge is that of now
 		}
-		if !it.up { // the platform's does so
-			it.write(message{Op: "ERROR", End: m.Op, ID: m.Tag})
-		} else if !it.mute {
+		if !it.mute {
 			it.write(message{Op: "TOPS", Tag: m.Tag, Values: []float64{it.busy, float64(len(it.running)), 0, 0}})
 		}
 	case "SMOKE":
-		if !it.up {
-			it.write(message{Op: "ERROR", End: m.Op, ID: m.Tag})
-		} else if !it.mute {
+		if !it.mute {
 			it.write(message{Op: "SMOKED", Tag: m.Tag, End: "OK"})
 		}
 	default:
--- a/server/actions.go
+++ b/server/actions.go
@@ -60,23 +60,22 @@
 		a.Fail(id)
 		return
 	}
-	r := refusal(stayAway)
-	if last {
-		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
-	}
-	a.answer(t, r)
+	a.answer(t, refusal(stayAway, last))
 	t.halted = t.awaits
 	a.withdraw(t)
 	a.drop(t)
 }
 
-// refusal is an answer that says when to come back, where that is honoured.
-func refusal(stayAway time.Duration) front.Answer {
+// refusal is an answer that says when to come back, where that is honoured, and whether to try no other server.
+func refusal(stayAway time.Duration, last bool) front.Answer {
 	r := front.Answer{Status: statusRefused}
 	if stayAway > 0 {
 		ms := (stayAway + time.Millisecond - 1) / time.Millisecond
 		r.Fields = append(r.Fields, front.Field{Name: "Back-Off-Ms", Value: strconv.FormatInt(int64(ms), 10)})
 	}
+	if last {
+		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
+	}
 	return r
 }
 
--- a/server/journal.go
+++ b/server/journal.go
@@ -194,7 +194,7 @@
 		j.rules.Undo(j.key(t))
 		if t.state == running {
 			j.unprotected++
-			j.answer(t, refusal(j.told.Module.RetryAfter)) // nothing ran, and the caller may hear so
+			j.answer(t, refusal(j.told.Module.RetryAfter, false)) // nothing ran, and the caller may hear so
 			j.ran(t.wire, interp.EndRejected, front.Answer{})
 		}
 	case t.state != running || t.halted:
--- a/server/pieces_test.go
+++ b/server/pieces_test.go
@@ -68,8 +68,7 @@
 	s, it := run(t)
 	it.Prompt()
 	n := uint16(0)
-	var ask func(g *testkit.Gateway, what string, pieces func(text []byte) [][]byte)
-	ask = func(g *testkit.Gateway, what string, pieces func(text []byte) [][]byte) {
+	ask := func(g *testkit.Gateway, what string, pieces func(text []byte) [][]byte) {
 		t.Helper()
 		n++
 		body := fmt.Sprintf("body %d", n)
@@ -84,10 +83,6 @@
 			if a.Kind == standin.Values {
 				continue
 			}
-			if a.Status == 503 { // a slow machine looks like a stall: the request comes again
-				ask(g, what, pieces)
-				return
-			}
 			if a.ID != n || a.Status != 200 || string(a.Body) != "["+body+"]" {
 				t.Fatalf("%s, request %d: %+v", what, n, a)
 			}
--- a/server/requests.go
+++ b/server/requests.go
@@ -31,7 +31,7 @@
 	if err == nil && s.module == nil {
 		g.sound++
 		s.count.refused++
-		g.answer(id, refusal(s.told.Module.RetryAfter)) // nothing can run yet
+		g.answer(id, refusal(s.told.Module.RetryAfter, false)) // nothing can run yet
 		return
 	}
 	if err == nil {
@@ -45,7 +45,7 @@
 	g.sound++
 	if s.journal != nil && s.journal.turnsAway(t) {
 		s.count.refused++
-		g.answer(id, refusal(s.told.Module.RetryAfter))
+		g.answer(id, refusal(s.told.Module.RetryAfter, false))
 		return
 	}
 	s.lastID++
--- a/server/worker.go
+++ b/server/worker.go
@@ -60,9 +60,7 @@
 	if t.once {
 		s.answer(t, front.Answer{Status: statusFailed})
 	} else {
-		r := refusal(s.told.Module.RetryAfter)
-		r.Fields = append(r.Fields, front.Field{Name: "Final-Refusal", Value: "1"})
-		s.answer(t, r)
+		s.answer(t, refusal(s.told.Module.RetryAfter, true))
 	}
 	s.module.Gone(s.event(), t.id)
 }
