--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name. A case returns whether the rule was broken, or an error if it could not run.
 var cases = map[string]func(r *record, dir string, trouble bool) (bool, error){
 	"refusal": refusal,
+	"lost":    lost,
 }
 
 func main() { os.Exit(run()) }
