--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -45,11 +47,18 @@
 	defer os.RemoveAll(dir)
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.add("case %s, trouble: %t", os.Args[1], trouble)
-	time.AfterFunc(timeLimit, func() {
-		r.add("not run: the case takes too long")
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-signals:
+			r.add("not run: stopped by a signal")
+		case <-time.After(timeLimit):
+			r.add("not run: the case takes too long")
+		}
 		stopServers()
 		os.Exit(notRun)
-	})
+	}()
 	defer stopServers()
 	broken, err := cases[os.Args[1]](r, dir, trouble)
 	if err == nil {
