Look up the key of a request before it is rejected for lack of memory

What callers saw: while clients that halt half way held the memory for requests, retries of reservations that had run were ended with OVERLOADED, which to a gateway proves that nothing ran.

Cause: all connections share one budget for open requests, and a request that did not fit was ended at the first record that did not fit, before its key was read (fastcgi appendWithinLimits, server RequestInvalid). Every other rejection of a keyed request passes a check of the idempotency table; this one could not.

An incomplete request that has to be ended fails and promises nothing. If the budget is full, incomplete requests of the connection that uses the most for them are ended, so that clients that never complete a request can't keep a gateway's from being read.

Why it works: OVERLOADED and 503 are now sent only for requests whose key is known, and not for one that has run.

--- a/internal/fastcgi/request.go
+++ b/internal/fastcgi/request.go
@@ -100,7 +100,7 @@
 func (s *Session) finish(id uint16, req *request, records []byte) {
 	s.write(records)
 	delete(s.open, id)
-	s.shared.bytesLeft += req.reservedBytes
+	s.shared.memory.release(s, req)
 	s.hasEnded = s.hasEnded || !req.keepConn
 }
 
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -44,7 +44,7 @@
 // sharedState is the state that all sessions of a protocol share. It contains the buffers, since there are many idle
 // sessions and an idle session must not hold a buffer.
 type sharedState struct {
-	bytesLeft int    // unused part of Limits.TotalBytes
+	memory    requestMemory
 	cgiBuf    []byte // the CGI response being assembled
 	recordBuf []byte // the records being assembled
 }
@@ -58,7 +58,7 @@
 	isComplete    bool // it was passed to the handler, as a valid or as an invalid request
 	isInvalid     bool
 	reason        gateway.RejectReason // valid if isInvalid is set
-	reservedBytes int                  // bytes taken from sharedState.bytesLeft
+	reservedBytes int                  // bytes of sharedState.memory
 }
 
 // invalidate marks the request as invalid. Only the first reason is recorded.
@@ -78,14 +78,18 @@
 	controlBuf   []byte // content of a BEGIN_REQUEST or management record
 	skippedBytes int    // since the last valid request
 	incomplete   int    // number of open requests that are incomplete
-	hasEnded     bool   // input is ignored, and the connection is closed once the complete requests have responses
-	shared       *sharedState
+	// incompleteBytes is the memory of the incomplete requests. If it is above 0, readingIndex is the session's index in
+	// requestMemory.reading.
+	incompleteBytes int
+	readingIndex    int
+	hasEnded        bool // input is ignored, and the connection is closed once the complete requests have responses
+	shared          *sharedState
 }
 
 // NewProtocol returns a protocol whose sessions enforce the limits. The sessions share state without a lock, so they must
 // not be used concurrently.
 func NewProtocol(limits Limits) gateway.Protocol {
-	shared := &sharedState{bytesLeft: limits.TotalBytes}
+	shared := &sharedState{memory: requestMemory{limit: limits.TotalBytes}}
 	return func(out gateway.Output, h gateway.Handler) gateway.Session {
 		return &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}}
 	}
@@ -125,7 +129,7 @@
 func (s *Session) Close() {
 	for id, req := range s.open {
 		delete(s.open, id)
-		s.shared.bytesLeft += req.reservedBytes
+		s.shared.memory.release(s, req)
 	}
 	s.hasEnded, s.incomplete = true, 0
 }
@@ -163,11 +167,10 @@
 		return collected
 	}
 	// Many connections that send requests slowly must not exhaust the process's memory.
-	if len(added) > s.shared.bytesLeft {
-		req.invalidate(gateway.TooManyRequests)
+	if !s.shared.memory.reserve(s, len(added)) {
+		req.invalidate(gateway.OutOfMemory)
 		return collected
 	}
-	s.shared.bytesLeft -= len(added)
 	req.reservedBytes += len(added)
 	return append(collected, added...)
 }
@@ -272,6 +275,7 @@
 // complete passes a request to the handler after its last byte was read. If the request is invalid, it passes the reason
 // instead; an invalid request may be completed before its last byte.
 func (s *Session) complete(id uint16, req *request) {
+	s.shared.memory.release(s, req)
 	req.isComplete = true
 	s.incomplete--
 	if !req.hasAllParams {
@@ -288,5 +292,16 @@
 		return
 	}
 	s.skippedBytes = 0
+	parsed.ExceedsLimits = !s.reserveComplete(req, parsed)
 	s.handler.RequestReceived(s, gateway.StreamID(id), parsed)
 }
+
+// reserveComplete reserves the memory that a complete request keeps until its response. It reports whether all complete
+// requests together are within their limit.
+func (s *Session) reserveComplete(req *request, parsed gateway.Request) bool {
+	req.reservedBytes = len(parsed.Body)
+	for name, value := range parsed.Params {
+		req.reservedBytes += len(name) + len(value)
+	}
+	return s.shared.memory.addComplete(req.reservedBytes)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,8 @@
 	Headers             map[string]string // by name in lower case
 	Params              map[string]string // all parameters, unchanged; nil unless the protocol is configured to keep them
 	Body                []byte            // not shared with the session
+	// ExceedsLimits is set if the open requests use more memory than they may. The handler should respond immediately.
+	ExceedsLimits bool
 }
 
 // Field is a name-value pair: a header field of a response, or a parameter of a request to a member.
@@ -35,8 +37,9 @@
 const (
 	Malformed       RejectReason = iota // its parameters are incomplete or can't be parsed
 	TooLarge                            // its parameters or body exceed a limit
-	TooManyRequests                     // the connection has too many open requests, or all open requests hold too many bytes
+	TooManyRequests                     // the connection has too many open requests
 	UnsupportedRole                     // its role is not implemented
+	OutOfMemory                         // it was ended before its last byte, because the memory for requests is full
 )
 
 // Handler handles the requests that sessions read.
--- a/internal/gateway/rejectreason_string.go
+++ b/internal/gateway/rejectreason_string.go
@@ -12,11 +12,12 @@
 	_ = x[TooLarge-1]
 	_ = x[TooManyRequests-2]
 	_ = x[UnsupportedRole-3]
+	_ = x[OutOfMemory-4]
 }
 
-const _RejectReason_name = "MalformedTooLargeTooManyRequestsUnsupportedRole"
+const _RejectReason_name = "MalformedTooLargeTooManyRequestsUnsupportedRoleOutOfMemory"
 
-var _RejectReason_index = [...]uint8{0, 9, 17, 32, 47}
+var _RejectReason_index = [...]uint8{0, 9, 17, 32, 47, 58}
 
 func (i RejectReason) String() string {
 	idx := int(i) - 0
--- a/server/counters.go
+++ b/server/counters.go
@@ -26,6 +26,7 @@
 	directAnswers              uint64 // answers that the parser gave, without the module
 
 	malformed, tooLarge, tooMany, badRole, invalid uint64 // invalid requests
+	incompleteEnded                                uint64 // incomplete requests that were ended for lack of memory
 
 	served, rejected, failed uint64 // answers
 	replayed                 uint64 // answers from the run of another attempt; also counted as served
@@ -92,6 +93,7 @@
 		{"malformed", requests.malformed},
 		{"too_large", requests.tooLarge},
 		{"too_many", requests.tooMany},
+		{"incomplete_ended", requests.incompleteEnded},
 		{"bad_role", requests.badRole},
 		{"invalid", requests.invalid},
 		{"served", requests.served},
--- a/server/gateway_conn.go
+++ b/server/gateway_conn.go
@@ -139,14 +139,18 @@
 	server.removeIfDone(attempt)
 }
 
-// RequestInvalid implements gateway.Handler.
+// RequestInvalid implements gateway.Handler. The answer is never a rejection, which to the caller means that nothing ran:
+// the idempotency key of an invalid request is unknown, so the request may be a retry of one that has run.
 func (g *gatewayConn) RequestInvalid(_ gateway.Session, stream gateway.StreamID, reason gateway.RejectReason) {
 	g.RequestRejected(reason)
-	r := gateway.Response{Status: statusBadRequest, Overloaded: reason == gateway.TooManyRequests}
-	if reason == gateway.TooLarge {
-		r.Status = statusTooLarge
+	status := statusBadRequest
+	switch reason {
+	case gateway.TooLarge:
+		status = statusTooLarge
+	case gateway.OutOfMemory:
+		status = statusInternalError
 	}
-	g.respond(stream, r)
+	g.respond(stream, gateway.Response{Status: status})
 }
 
 // RequestRejected implements gateway.Handler.
@@ -159,6 +163,8 @@
 		counts.tooMany++
 	case gateway.UnsupportedRole:
 		counts.badRole++
+	case gateway.OutOfMemory:
+		counts.incompleteEnded++
 	default:
 		counts.malformed++
 	}
--- /dev/null
+++ b/server/memory_pressure_test.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"strings"
+	"testing"
+
+	"tillerusher/internal/fake"
+	"tillerusher/internal/servertest"
+)
+
+// incompleteRequest returns the beginning of a request: size bytes of parameters, which are not complete.
+func incompleteRequest(id uint16, size int) []byte {
+	params := fake.EncodePair("HTTP_X", strings.Repeat("x", size), true)
+	return append(fake.EncodeBeginRequest(id, 1, true), fake.EncodeRecord(fake.Params, id, params[:size], 0)...)
+}
+
+// fillRequestMemory has clients send incomplete requests until the memory for requests is full: first large ones, and then
+// smaller ones, which fit in what the large ones leave.
+func fillRequestMemory(t *testing.T, s *Server) {
+	t.Helper()
+	for _, size := range []int{MaxParamsBytes, 1000, 60} {
+		for endedBefore := incompleteEnded(s); incompleteEnded(s) == endedBefore; {
+			client := servertest.Dial(t, s.cfg.Listen.String())
+			for id := range uint16(MaxOpenRequests) {
+				client.Write(incompleteRequest(id+1, size))
+			}
+			waitRound(s)
+		}
+	}
+}
+
+// incompleteEnded returns the number of incomplete requests that were ended for lack of memory.
+func incompleteEnded(s *Server) (n uint64) {
+	onLoop(s, func() { n = s.counters.incompleteEnded })
+	return n
+}
+
+// TestIncompleteRequestsDoNotRejectRanRequest guards against the rejection of a retry whose request has run, when clients
+// that halt in the middle of their requests hold all memory for requests.
+func TestIncompleteRequestsDoNotRejectRanRequest(t *testing.T) {
+	s, it := startServer(t)
+	g := servertest.Dial(t, s.cfg.Listen.String())
+	g.Write(fake.NewReserve(7, "x").Encode(1))
+	it.EndRun(it.WaitRuns(1)[0].ID, "OK", []byte("done"))
+	if a := g.WaitResponse(1); a.Status != 200 {
+		t.Fatalf("answer to the first attempt %+v, want status 200", a)
+	}
+	fillRequestMemory(t, s)
+	g.Write(fake.NewReserve(7, "x").WithHeader("Attempt-Again", "1").Encode(2))
+	if a := g.WaitResponse(2); a.Status != 200 || string(a.Body) != "done" {
+		t.Errorf("answer to the retry %+v, want status 200 and body done", a)
+	}
+	other := servertest.Dial(t, s.cfg.Listen.String())
+	other.Write(fake.NewReserve(7, "x").WithHeader("Attempt-Again", "1").Encode(1))
+	if a := other.WaitResponse(1); a.Status != 200 || string(a.Body) != "done" {
+		t.Errorf("answer to the retry on a new connection %+v, want status 200 and body done", a)
+	}
+}
