Look up the key of a request over the limit of open requests before it is rejected

What callers saw: a connection's 33rd open request was ended with OVERLOADED at its BEGIN_REQUEST, before its key was read, also if it was a retry of a request that had run.

Change: the session delivers complete requests over the limit with the mark ExceedsLimits, and the server looks up the key. The number of incomplete ones is limited to as many again; one above that fails and promises nothing.

Evidence: TestRequestOverLimitNotRejectedAfterRun failed before (protocol status 2 for a retry of a request that had run). TestTooManyOpenRequests keeps its assertions and gains one for the new limit; the session's model follows.

--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -12,6 +12,9 @@
 	// maxSkippedBytes is the maximum number of bytes that are skipped between two valid requests: the rest of a body that
 	// was rejected for its length, and records of requests that have ended. An endless body soon exceeds it.
 	maxSkippedBytes = 64 << 10
+	// openRequestsFactor times Limits.OpenRequests is the maximum number of open requests of one session, whether complete
+	// or not. It is above 1 so that the handler can look up a request above Limits.OpenRequests before it rejects it.
+	openRequestsFactor = 2
 	// maxRetainedControlBytes is the capacity of the largest buffer for control records that a connection keeps.
 	maxRetainedControlBytes = 64
 )
@@ -34,7 +37,7 @@
 
 // Limits configures the requests that sessions accept.
 type Limits struct {
-	OpenRequests int  // maximum number of open requests of one session
+	OpenRequests int  // maximum number of complete requests without a response, of one session
 	ParamBytes   int  // maximum size of one request's parameters
 	BodyBytes    int  // maximum size of one request's body
 	TotalBytes   int  // maximum size of all open requests of all sessions
@@ -233,7 +236,8 @@
 	return control
 }
 
-// beginRequest opens a request, or rejects it if its role is not implemented or too many requests are open.
+// beginRequest opens a request, or ends it if its role is not implemented or too many requests are open. Its parameters are
+// not known yet, so the response must not be the status for overload, which promises that the request never ran.
 func (s *Session) beginRequest(id uint16, content []byte) error {
 	if len(content) < beginRequestSize {
 		return &RequestError{ID: id, Reason: fmt.Sprintf("BEGIN_REQUEST content has %d bytes, want at least 8", len(content))}
@@ -246,8 +250,8 @@
 	switch {
 	case role != roleResponder:
 		s.reject(id, keepConn, gateway.UnsupportedRole, statusUnknownRole)
-	case len(s.open) >= s.limits.OpenRequests:
-		s.reject(id, keepConn, gateway.TooManyRequests, statusOverloaded)
+	case len(s.open) >= openRequestsFactor*s.limits.OpenRequests:
+		s.reject(id, keepConn, gateway.TooManyRequests, statusComplete)
 	default:
 		s.open[id] = &request{keepConn: keepConn}
 		s.incomplete++
@@ -292,7 +296,8 @@
 		return
 	}
 	s.skippedBytes = 0
-	parsed.ExceedsLimits = !s.reserveComplete(req, parsed)
+	hasMemory := s.reserveComplete(req, parsed)
+	parsed.ExceedsLimits = !hasMemory || len(s.open)-s.incomplete > s.limits.OpenRequests
 	s.handler.RequestReceived(s, gateway.StreamID(id), parsed)
 }
 
--- a/internal/fastcgi/session_test.go
+++ b/internal/fastcgi/session_test.go
@@ -157,8 +157,9 @@
 	}
 }
 
-// TestTooManyOpenRequests checks that requests over the limit of open requests are rejected with the protocol status for
-// overload.
+// TestTooManyOpenRequests checks that complete requests over the limit of open requests are received and marked, so that the
+// handler can look them up before it rejects them, and that the number of incomplete ones is limited without a promise that
+// they never ran.
 func TestTooManyOpenRequests(t *testing.T) {
 	g := newTestGateway(t)
 	for id := range uint16(6) {
@@ -170,6 +171,15 @@
 	if g.err != nil || g.reasons[0] != gateway.TooManyRequests {
 		t.Errorf("error %v, reasons %v", g.err, g.reasons)
 	}
+	for id := range uint16(5) {
+		g.feed(fake.EncodeBeginRequest(id+11, 1, true))
+	}
+	if last := g.responses[len(g.responses)-1]; len(g.responses) != 3 || last.ID != 15 || last.ProtocolStatus != statusComplete || last.Status != 0 {
+		t.Errorf("responses %+v, want that the fifth of the incomplete requests failed", g.responses)
+	}
+	if g.err != nil || len(g.reasons) != 3 || g.reasons[2] != gateway.TooManyRequests {
+		t.Errorf("error %v, reasons %v", g.err, g.reasons)
+	}
 }
 
 // TestInvalidRequests checks that invalid requests are rejected and that the connection remains usable.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,8 @@
 	Headers             map[string]string // by name in lower case
 	Params              map[string]string // all parameters, unchanged; nil unless the protocol is configured to keep them
 	Body                []byte            // not shared with the session
-	// ExceedsLimits is set if the open requests use more memory than they may. The handler should respond immediately.
+	// ExceedsLimits is set if the connection has too many open requests, or the open requests of all connections use too
+	// much memory. The handler should respond immediately.
 	ExceedsLimits bool
 }
 
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -56,3 +56,27 @@
 		t.Errorf("answer to the retry on a new connection %+v, want status 200 and body done", a)
 	}
 }
+
+// TestRequestOverLimitNotRejectedAfterRun guards against the rejection of a retry whose request has run, when its connection
+// has as many open requests as allowed.
+func TestRequestOverLimitNotRejectedAfterRun(t *testing.T) {
+	s, it := startServer(t)
+	g := servertest.Dial(t, s.cfg.Listen.String())
+	g.Write(fake.NewReserve(7, "x").Encode(1))
+	it.EndRun(it.WaitRuns(1)[0].ID, "OK", []byte("done"))
+	if a := g.WaitResponse(1); a.Status != 200 {
+		t.Fatalf("answer to the first attempt %+v, want status 200", a)
+	}
+	for id := range uint16(MaxOpenRequests) {
+		g.Write(fake.NewLookup("").Encode(id + 1))
+	}
+	it.WaitRuns(1 + MaxOpenRequests)
+	g.Write(fake.NewReserve(7, "x").WithHeader("Attempt-Again", "1").Encode(MaxOpenRequests + 1))
+	if a := g.WaitResponse(MaxOpenRequests + 1); a.Status != 200 || string(a.Body) != "done" {
+		t.Errorf("answer to the retry %+v, want status 200 and body done", a)
+	}
+	g.Write(fake.NewReserve(8, "x").Encode(MaxOpenRequests + 2))
+	if a := g.WaitResponse(MaxOpenRequests + 2); a.ProtocolStatus != 2 {
+		t.Errorf("answer to a request that has not run %+v, want the protocol status for overload", a)
+	}
+}
