Do not end a connection because many of its requests were ended early

Cause: the rest of a request that is ended before its last byte is skipped, and the skipped bytes counted towards a bound of 64 KB per connection that only a valid request set back. The bound was meant for an endless body; requests of legal size that are ended one after the other reached it.

Change: each request that begins adds its maximum size to the allowance of bytes that may be skipped, up to that of all requests that may be open at once, since they may be interleaved. An endless body still exceeds it.

TestEndlessBody passes.

--- a/internal/fastcgi/memory_test.go
+++ b/internal/fastcgi/memory_test.go
@@ -167,3 +167,30 @@
 			memory.completeBytes, len(memory.reading), used, complete, reading, memory.limit)
 	}
 }
+
+// TestEndedForMemoryKeepsSession guards against the end of a session after many requests that were ended for lack of memory,
+// written at once or interleaved: the rest of their records must be skipped without an error.
+func TestEndedForMemoryKeepsSession(t *testing.T) {
+	const open, body = 32, 2000
+	g := newTestGateways(t, 1, Limits{OpenRequests: open, ParamBytes: 1000, BodyBytes: body, TotalBytes: 10})[0]
+	r := newLookupRequest(strings.Repeat("b", body))
+	for id := range uint16(2 * open) {
+		g.feed(r.Encode(id + 1))
+	}
+	for id := range uint16(open) {
+		g.feed(r.Encode(id + 1)[:16])
+	}
+	for id := range uint16(open) {
+		g.feed(r.Encode(id + 1)[16:])
+	}
+	if g.err != nil || len(g.responses) != 3*open {
+		t.Errorf("%d responses, error %v; want %d responses and no error", len(g.responses), g.err, 3*open)
+	}
+	endless := fake.EncodeRecord(fake.Stdin, 1, make([]byte, maxContent), 0)
+	for range 2*open + 1 {
+		g.feed(endless)
+	}
+	if g.err == nil {
+		t.Error("an endless body after the requests was accepted")
+	}
+}
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// maxSkippedBytes is the maximum number of bytes that are skipped between two valid requests: the rest of a body that
-	// was rejected for its length, and records of requests that have ended. An endless body soon exceeds it.
-	maxSkippedBytes = 64 << 10
+	// minSkipAllowance is how many bytes may be skipped after a valid request: see Session.skipAllowance.
+	minSkipAllowance = 64 << 10
 	// openRequestsFactor times Limits.OpenRequests is the maximum number of open requests of one session, whether complete
 	// or not. It is above 1 so that the handler can look up a request above Limits.OpenRequests before it rejects it.
 	openRequestsFactor = 2
@@ -22,7 +21,7 @@
 var (
 	// errSessionEnded stops the record reader of a connection that is to be closed. Feed does not return it.
 	errSessionEnded = errors.New("fastcgi: session ended")
-	// errTooManySkipped is returned once more than maxSkippedBytes were skipped since the last valid request.
+	// errTooManySkipped is returned once more bytes were skipped than the skip allowance permits.
 	errTooManySkipped = errors.New("fastcgi: too many bytes that belong to no request")
 )
 
@@ -73,14 +72,17 @@
 
 // Session implements gateway.Session for one connection.
 type Session struct {
-	limits       Limits
-	out          gateway.Output
-	handler      gateway.Handler
-	reader       recordReader
-	open         map[uint16]*request
-	controlBuf   []byte // content of a BEGIN_REQUEST or management record
-	skippedBytes int    // since the last valid request
-	incomplete   int    // number of open requests that are incomplete
+	limits     Limits
+	out        gateway.Output
+	handler    gateway.Handler
+	reader     recordReader
+	open       map[uint16]*request
+	controlBuf []byte // content of a BEGIN_REQUEST or management record
+	// skipAllowance is the number of bytes that may still be skipped: the rest of requests that were ended before their last
+	// byte, and records that belong to no request. Each request that begins adds its maximum size, so that requests which are
+	// ended one after the other do not end the connection, but an endless body soon does.
+	skipAllowance int
+	incomplete    int // number of open requests that are incomplete
 	// incompleteBytes is the memory of the incomplete requests. If it is above 0, readingIndex is the session's index in
 	// requestMemory.reading.
 	incompleteBytes int
@@ -94,7 +96,7 @@
 func NewProtocol(limits Limits) gateway.Protocol {
 	shared := &sharedState{memory: requestMemory{limit: limits.TotalBytes}}
 	return func(out gateway.Output, h gateway.Handler) gateway.Session {
-		return &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}}
+		return &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}, skipAllowance: minSkipAllowance}
 	}
 }
 
@@ -149,7 +151,7 @@
 	case header.hasControl() && len(s.controlBuf)+len(part) <= s.limits.ParamBytes:
 		s.controlBuf = append(s.controlBuf, part...)
 	default:
-		s.skippedBytes += len(part)
+		s.skipAllowance -= len(part)
 	}
 	// A request over a limit is rejected before its end, which may never arrive.
 	if isReading && req.isInvalid {
@@ -187,7 +189,7 @@
 		return err
 	case s.hasEnded:
 		return errSessionEnded
-	case s.skippedBytes > maxSkippedBytes:
+	case s.skipAllowance < 0:
 		return errTooManySkipped
 	}
 	return nil
@@ -198,7 +200,7 @@
 func (s *Session) handleRecord(header recordHeader) error {
 	control := s.takeControl()
 	if header.requestID == managementID {
-		s.skippedBytes += headerSize
+		s.skipAllowance -= headerSize
 		return s.handleManagement(header, control)
 	}
 	if header.recordType == typeBeginRequest {
@@ -206,7 +208,7 @@
 	}
 	req := s.open[header.requestID]
 	if req == nil {
-		s.skippedBytes += headerSize
+		s.skipEmptyRecord(header)
 		return nil
 	}
 	isEndOfStream := header.contentLength == 0
@@ -225,6 +227,21 @@
 	return nil
 }
 
+// skipEmptyRecord counts a record that belongs to no request. The content of a record that is not empty was counted already.
+func (s *Session) skipEmptyRecord(header recordHeader) {
+	if header.contentLength == 0 {
+		s.skipAllowance -= headerSize
+	}
+}
+
+// extendSkipAllowance adds the maximum size of a request that begins, up to that of all requests that may be open.
+func (s *Session) extendSkipAllowance() {
+	const emptyRecords = 2 // at the ends of the parameters and of the body
+	requestSize := s.limits.ParamBytes + s.limits.BodyBytes + emptyRecords*headerSize
+	maxAllowance := minSkipAllowance + openRequestsFactor*s.limits.OpenRequests*requestSize
+	s.skipAllowance = min(s.skipAllowance+requestSize, maxAllowance)
+}
+
 // takeControl returns the content of a control record, which is valid until the next control record, and empties the
 // buffer. It does not keep a large buffer.
 func (s *Session) takeControl() []byte {
@@ -245,6 +262,7 @@
 	if s.open[id] != nil {
 		return &RequestError{ID: id, Reason: "BEGIN_REQUEST for a request that is already open"}
 	}
+	s.extendSkipAllowance()
 	role := binary.BigEndian.Uint16(content)
 	keepConn := content[2]&flagKeepConn != 0
 	switch {
@@ -295,7 +313,7 @@
 		s.handler.RequestInvalid(s, gateway.StreamID(id), req.reason)
 		return
 	}
-	s.skippedBytes = 0
+	s.skipAllowance = max(s.skipAllowance, minSkipAllowance)
 	hasMemory := s.reserveComplete(req, parsed)
 	parsed.ExceedsLimits = !hasMemory || len(s.open)-s.incomplete > s.limits.OpenRequests
 	s.handler.RequestReceived(s, gateway.StreamID(id), parsed)
