Answer the open requests of a connection whose input is invalid before it is closed

What callers saw: an error of a connection's input (a bound exceeded, an ID in use, bytes that are no FastCGI) ended the connection at once, and the requests that it had read before got no answer.

Cause: gatewayConn.Data called closeAfterFlush, which cancels all open requests of the connection.

Change: after an error the session ignores further input, nothing more is read from the socket (Conn.StopReading), the requests that were read before are answered, and then the connection is closed. A log line names the error; so far protocol_errors counted all of them without a word on which it was.

Why it works: a request that was read completely keeps its connection until it is answered, whatever arrives later.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -29,6 +29,7 @@
 	events       uint32 // epoll events that the descriptor is registered for
 	state        connState
 	isClosed     bool
+	isReadEnded  bool // StopReading was called
 	lastActivity time.Time
 	pendingErr   error // passed to the handler by the next call of report
 	in           connInput
@@ -94,7 +95,7 @@
 		return
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
-		if c.state == stateLingering {
+		if c.state == stateLingering || c.isReadEnded {
 			c.discard()
 		} else {
 			c.read()
@@ -156,11 +157,19 @@
 	c.loop.output.failed = append(c.loop.output.failed, c)
 }
 
+// StopReading stops passing input to the handler, for the rest of the connection. Output is still sent. Errors of the
+// connection are reported as before, but the end of the peer's stream is not.
+func (c *Conn) StopReading() {
+	c.isReadEnded = true
+	c.markDirty()
+}
+
 // updateEvents registers the connection for the events that it needs. It does not wait for input while the peer
-// leaves at least highWatermark bytes of output unread, nor after CloseAfterFlush until the connection lingers.
+// leaves at least highWatermark bytes of output unread, after StopReading, or after CloseAfterFlush until the connection
+// lingers.
 func (c *Conn) updateEvents() {
 	var events uint32
-	if len(c.out.unsent) < highWatermark && !c.out.closeAfter || c.state == stateLingering {
+	if len(c.out.unsent) < highWatermark && !c.isReadEnded && !c.out.closeAfter || c.state == stateLingering {
 		events |= unix.EPOLLIN
 	}
 	if len(c.out.unsent) > 0 {
--- a/internal/eventloop/conn_output.go
+++ b/internal/eventloop/conn_output.go
@@ -115,7 +115,7 @@
 	})
 }
 
-// discard reads and drops input while the connection lingers, with at most lingerReads reads.
+// discard reads and drops input that the handler does not get, with at most lingerReads reads.
 func (c *Conn) discard() {
 	for range lingerReads {
 		n, err := c.loop.system.Read(c.fd, c.loop.input.discardBuf[:])
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tillerusher/internal/servertest"
 )
 
@@ -271,6 +273,53 @@
 	}
 }
 
+// TestStopReading checks that after StopReading no input reaches the handler, that output still arrives before the
+// connection is closed, and that a reset by the peer is reported.
+func TestStopReading(t *testing.T) {
+	e := newEchoHandler()
+	conns, input := make(chan *Conn, 2), make(chan string, 100)
+	e.onData = func(c *Conn, p []byte) {
+		input <- string(p)
+		c.StopReading()
+		conns <- c
+	}
+	l, addr := serve(t, e, func() {})
+	stopped := func() (net.Conn, *Conn) {
+		c := dial(t, addr)
+		io.WriteString(c, "first")
+		conn := <-conns
+		if got := <-input; got != "first" {
+			t.Errorf("the handler got %q, want first", got)
+		}
+		return c, conn
+	}
+	c, conn := stopped()
+	io.WriteString(c, "second")
+	rounds := make(chan bool)
+	for range 3 { // the loop would read the socket in one of these rounds
+		l.Post(func() { rounds <- true })
+		<-rounds
+	}
+	l.Post(func() {
+		conn.Write([]byte("late answer"))
+		conn.CloseAfterFlush()
+	})
+	if rest, err := io.ReadAll(c); string(rest) != "late answer" || err != nil {
+		t.Errorf("read %q, %v", rest, err)
+	}
+	c.Close()
+	<-e.closed
+	reset, _ := stopped()
+	reset.(*net.TCPConn).SetLinger(0) // Close resets the connection
+	reset.Close()
+	if err := <-e.closed; !errors.Is(err, unix.ECONNRESET) {
+		t.Errorf("closed with error %v, want ECONNRESET", err)
+	}
+	if len(input) > 0 {
+		t.Errorf("the handler got %q after StopReading", <-input)
+	}
+}
+
 // TestFloodIsFair has more connections that always send than one round can read. A connection that is opened later must
 // still be read, and the input of a round must not outgrow the arena.
 func TestFloodIsFair(t *testing.T) {
--- a/internal/fastcgi/memory_test.go
+++ b/internal/fastcgi/memory_test.go
@@ -189,8 +189,9 @@
 	endless := fake.EncodeRecord(fake.Stdin, 1, make([]byte, maxContent), 0)
 	for range 2*open + 1 {
 		g.feed(endless)
+		if g.err != nil {
+			return
+		}
 	}
-	if g.err == nil {
-		t.Error("an endless body after the requests was accepted")
-	}
+	t.Error("an endless body after the requests was accepted")
 }
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -25,7 +25,7 @@
 	errTooManySkipped = errors.New("fastcgi: too many bytes that belong to no request")
 )
 
-// RequestError reports a record that violates the protocol. The connection must be closed.
+// RequestError reports a record that violates the protocol. No more input can be read from the connection.
 type RequestError struct {
 	ID     uint16
 	Reason string
@@ -105,10 +105,12 @@
 	if s.hasEnded {
 		return nil // the connection closes once the last response is sent
 	}
-	if err := s.reader.feed(p, s); err != errSessionEnded {
-		return err
+	err := s.reader.feed(p, s)
+	if err == errSessionEnded {
+		return nil
 	}
-	return nil
+	s.hasEnded = err != nil
+	return err
 }
 
 // OpenRequests implements gateway.Session.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,8 @@
 
 // Session is the protocol state of one connection from a gateway.
 type Session interface {
-	// Feed parses the next bytes of the connection. After an error the caller must close the connection.
+	// Feed parses the next bytes of the connection. After an error it ignores all further input. Requests that were read
+	// before still get responses, and the caller must close the connection once ShouldClose reports true.
 	Feed(p []byte) error
 	// Respond sends the response to an open request and ends the request. It does nothing if the request is not open.
 	Respond(id StreamID, r Response)
--- a/server/gateway_conn.go
+++ b/server/gateway_conn.go
@@ -55,9 +55,8 @@
 // Data implements eventloop.ConnHandler.
 func (g *gatewayConn) Data(_ *eventloop.Conn, data []byte) {
 	validBefore := g.validRequests
-	if g.session.Feed(data) != nil {
-		g.server.conns.counters.protocolErrors++
-		g.closeAfterFlush()
+	if err := g.session.Feed(data); err != nil {
+		g.endInput(err)
 		return
 	}
 	switch {
@@ -69,6 +68,19 @@
 	g.closeIfFinished()
 }
 
+// endInput stops reading a connection whose input is invalid. The requests that were read before are still answered, and
+// then the connection is closed.
+func (g *gatewayConn) endInput(err error) {
+	counters := &g.server.conns.counters
+	counters.protocolErrors++
+	if isPowerOfTwo(counters.protocolErrors) { // limits the log
+		g.server.log.Warn("invalid input from a gateway connection", zap.Error(err), zap.Int("open_requests", g.session.OpenRequests()),
+			zap.Uint64("so_far", counters.protocolErrors))
+	}
+	g.conn.StopReading()
+	g.closeIfFinished()
+}
+
 // closeAfterFlush cancels the open requests of a connection, and half-closes the connection once its queued answers are
 // sent. No more requests are read from it.
 func (g *gatewayConn) closeAfterFlush() {
