Close the connection that leaves the most output unread, not the one that reaches the limit

All accepted connections share a limit on unsent output. Above it, the loop closed whichever connection was flushed next with more than 1/512 of the limit unsent, with its open requests, although other peers held nearly all of the memory. Connections to the interpreter and to members counted and were closed as well, with the runs on them.

Cause: Conn.exceedsOutputShare looked at the connection that was flushed and not at who uses the memory.

Change: while the limit is exceeded, the connection with the most unsent output fails. Dialled connections do not take part: what is sent to backends are requests, which have a limit of their own. The account by owner that finds the largest user is now one package, internal/usage, for this and for the memory of requests.

Evidence: TestUnreadOutputOfOthers and TestUnreadOutputToBackend failed before (the small connection failed; the connection to the backend failed). TestUnreadOutputIsBounded keeps its bound.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tillerusher/internal/usage"
 )
 
 //go:generate go tool stringer -type=connState
@@ -30,6 +32,7 @@
 	state        connState
 	isClosed     bool
 	isReadEnded  bool // StopReading was called
+	isDialled    bool // this side opened the connection
 	lastActivity time.Time
 	pendingErr   error // passed to the handler by the next call of report
 	in           connInput
@@ -41,10 +44,10 @@
 
 // connOutput is the output state of a connection.
 type connOutput struct {
-	unsent     []byte // nil if nothing is queued: there are many idle connections, and they must not hold buffers
-	accounted  int    // bytes of this connection that are included in the loop's unsentBytes
-	isDirty    bool   // the connection is in the loop's list of connections to flush at the end of the round
-	closeAfter bool   // CloseAfterFlush was called: half-close the connection once unsent is empty
+	unsent     []byte               // nil if nothing is queued: there are many idle connections, and they must not hold buffers
+	account    usage.Account[*Conn] // bytes of this connection that are included in the loop's unsent output
+	isDirty    bool                 // the connection is in the loop's list of connections to flush at the end of the round
+	closeAfter bool                 // CloseAfterFlush was called: half-close the connection once unsent is empty
 	linger     *Timer
 }
 
@@ -75,7 +78,8 @@
 
 // newConn registers a connected or connecting socket with the loop. It closes the socket if the registration fails.
 func (l *Loop) newConn(fd int, events uint32, state connState, h ConnHandler) (*Conn, error) {
-	c := &Conn{loop: l, fd: fd, handler: h, events: events, state: state, lastActivity: l.now}
+	c := &Conn{loop: l, fd: fd, handler: h, events: events, state: state, isDialled: state == stateConnecting, lastActivity: l.now}
+	c.out.account.Owner = c
 	if err := l.register(fd, events, c); err != nil {
 		l.system.Close(fd)
 		return nil, err
--- a/internal/eventloop/conn_output.go
+++ b/internal/eventloop/conn_output.go
@@ -10,7 +10,7 @@
 
 var (
 	errLingerTimeout  = errors.New("eventloop: peer did not close the connection before the linger timeout")
-	errOutputOverflow = errors.New("eventloop: too many bytes unsent to peers that do not read")
+	errOutputOverflow = errors.New("eventloop: too many bytes unsent to peers that do not read, most of them to this one")
 )
 
 // Write queues a copy of p, which is sent at the end of the round or once the connection is established. On a closed or
@@ -37,7 +37,7 @@
 // flush sends the queued bytes that the socket accepts and updates the state of the connection.
 func (c *Conn) flush() {
 	c.out.isDirty = false
-	if c.isClosed || c.state != stateEstablished {
+	if c.isClosed || c.state != stateEstablished || c.pendingErr != nil {
 		return
 	}
 	if err := c.send(); err != nil {
@@ -46,11 +46,8 @@
 	}
 	c.accountUnsent(len(c.out.unsent))
 	if len(c.out.unsent) > 0 {
-		if c.exceedsOutputShare() {
-			c.fail(errOutputOverflow)
-			return
-		}
 		c.updateEvents()
+		c.loop.output.limitUnsent()
 		return
 	}
 	c.releaseBuffer()
@@ -78,17 +75,21 @@
 	return nil
 }
 
-// exceedsOutputShare reports whether the unsent output of all connections exceeds its limit and this connection holds more
-// than 1/unsentShareDivisor of the limit.
-func (c *Conn) exceedsOutputShare() bool {
-	out := &c.loop.output
-	return out.unsentBytes > out.maxUnsentBytes && len(c.out.unsent) > out.maxUnsentBytes/unsentShareDivisor
+// limitUnsent has connections fail while the unsent output of all accepted connections exceeds its limit, those with the
+// most unsent output first.
+func (o *outputState) limitUnsent() {
+	for o.unsent.Bytes() > o.maxUnsentBytes {
+		largest := o.unsent.Largest().Owner
+		largest.accountUnsent(0)
+		largest.fail(errOutputOverflow)
+	}
 }
 
 // accountUnsent updates the loop's total for a connection that now has unsentBytes of unsent output.
 func (c *Conn) accountUnsent(unsentBytes int) {
-	c.loop.output.unsentBytes += unsentBytes - c.out.accounted
-	c.out.accounted = unsentBytes
+	if !c.isDialled {
+		c.loop.output.unsent.Add(&c.out.account, unsentBytes-c.out.account.Bytes())
+	}
 }
 
 // releaseBuffer returns the empty output buffer to the loop.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"tillerusher/internal/usage"
 )
 
 const (
@@ -18,9 +20,6 @@
 	// arenaSize is the maximum number of bytes that one round reads from all connections. It bounds the memory and the
 	// duration of a round when many connections send at the same time.
 	arenaSize = 16 * readSize
-	// unsentShareDivisor limits the output of one connection to the fraction 1/unsentShareDivisor of maxUnsentBytes while the
-	// output of all connections exceeds maxUnsentBytes.
-	unsentShareDivisor = 512
 	// lingerTimeout is how long a connection is still read after this side has shut down its sending direction.
 	// lingerReads is the maximum number of reads of such a connection in one round.
 	lingerTimeout = time.Second
@@ -64,11 +63,14 @@
 
 // outputState is the output state of all connections.
 type outputState struct {
-	dirty          []*Conn  // connections to flush at the end of the round
-	failed         []source // connections that failed while flushing, to be reported in the next round
-	freeBuffers    [][]byte // empty buffers for reuse
-	unsentBytes    int      // total output of all connections that remained unsent after their last flush
-	maxUnsentBytes int      // limit of unsentBytes above which connections with a large share of it are closed
+	dirty       []*Conn  // connections to flush at the end of the round
+	failed      []source // connections that failed while flushing, to be reported in the next round
+	freeBuffers [][]byte // empty buffers for reuse
+	// unsent is the output of accepted connections that remained unsent after their last flush. If it exceeds
+	// maxUnsentBytes, the connection with the most unsent output is closed. Dialled connections do not count: their peers are
+	// backends, and what is sent to these are requests, which the server limits itself.
+	unsent         usage.Total[*Conn]
+	maxUnsentBytes int
 }
 
 // postQueue holds the functions that Post passes from other goroutines to the loop.
@@ -81,7 +83,7 @@
 }
 
 // New returns a loop whose timers have the resolution tick. maxUnsentBytes is the approximate limit of the output that is
-// buffered for all peers that do not read.
+// buffered for all accepted connections whose peers do not read.
 func New(system System, tick time.Duration, maxUnsentBytes int) (*Loop, error) {
 	epollFD, err := system.EpollCreate()
 	if err != nil {
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -387,8 +387,82 @@
 		}
 	}
 	unsent := make(chan int)
-	l.Post(func() { unsent <- l.output.unsentBytes })
+	l.Post(func() { unsent <- l.output.unsent.Bytes() })
 	if got := <-unsent; got > l.output.maxUnsentBytes+8<<20 {
 		t.Errorf("%d bytes queued for peers that do not read", got)
 	}
 }
+
+// writeUnsent writes to a connection whose peer does not read, until the condition holds. It must be called on the loop.
+func writeUnsent(c *Conn, until func() bool) {
+	for !until() {
+		c.Write(make([]byte, 100<<10))
+		c.flush()
+	}
+}
+
+// TestUnreadOutputOfOthers guards against the end of a connection, and the loss of its open requests, because other peers
+// leave their output unread: the connection with the most unsent output must be closed.
+func TestUnreadOutputOfOthers(t *testing.T) {
+	e := newEchoHandler()
+	conns := make(chan *Conn, 2)
+	e.onData = func(c *Conn, _ []byte) { conns <- c }
+	l, addr := serve(t, e, func() {})
+	var peers [2]net.Conn
+	var accepted [2]*Conn
+	for i := range peers {
+		peers[i] = dial(t, addr)
+		io.WriteString(peers[i], "x")
+		accepted[i] = <-conns
+	}
+	large, small := accepted[0], accepted[1]
+	failed := make(chan []source)
+	l.Post(func() {
+		writeUnsent(large, func() bool { return large.UnsentBytes() > l.output.maxUnsentBytes*8/10 })
+		writeUnsent(small, func() bool { return len(l.output.failed) > 0 })
+		failed <- l.output.failed
+	})
+	if got := <-failed; len(got) != 1 || got[0] != large {
+		t.Errorf("%d connections failed, the one with the most unsent output among them: %t; want that one only", len(got), got[0] == large)
+	}
+	if err := <-e.closed; !errors.Is(err, errOutputOverflow) {
+		t.Errorf("closed with error %v, want %v", err, errOutputOverflow)
+	}
+	l.Post(func() {
+		small.Write([]byte("end"))
+		small.CloseAfterFlush()
+	})
+	if got, err := io.ReadAll(peers[1]); err != nil || !bytes.HasSuffix(got, []byte("end")) {
+		t.Errorf("read %d bytes on the other connection, error %v; want all and the end of the stream", len(got), err)
+	}
+}
+
+// TestUnreadOutputToBackend guards against the end of a connection to a backend, and the loss of the runs on it, because of
+// the limit on the output that accepted connections leave unread.
+func TestUnreadOutputToBackend(t *testing.T) {
+	e := newEchoHandler()
+	l, _ := serve(t, e, func() {})
+	backend, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer backend.Close()
+	dialled := make(chan *Conn)
+	l.Post(func() {
+		c, err := l.Dial(netip.MustParseAddrPort(backend.Addr().String()), e)
+		if err != nil {
+			t.Error(err)
+		}
+		dialled <- c
+	})
+	conn := <-dialled
+	<-e.connected
+	failed := make(chan int)
+	l.Post(func() {
+		writeUnsent(conn, func() bool { return conn.UnsentBytes() > 2*l.output.maxUnsentBytes || len(l.output.failed) > 0 })
+		failed <- len(l.output.failed)
+	})
+	if got := <-failed; got != 0 {
+		t.Error("the connection to the backend failed")
+	}
+}
--- a/internal/fastcgi/memory.go
+++ b/internal/fastcgi/memory.go
@@ -1,6 +1,9 @@
 package fastcgi
 
-import "tillerusher/internal/gateway"
+import (
+	"tillerusher/internal/gateway"
+	"tillerusher/internal/usage"
+)
 
 // Complete requests may use completeShareNumerator/completeShareDenominator of Limits.TotalBytes. The rest is left for
 // requests that are being read: the handler needs the whole request to find out whether it is a retry.
@@ -14,63 +17,30 @@
 // complete their requests can't keep others from being read.
 type requestMemory struct {
 	limit         int
-	used          int        // bytes of all open requests
-	completeBytes int        // bytes of the complete ones among them
-	reading       []*Session // sessions with incompleteBytes above 0, in any order
+	incomplete    usage.Total[*Session]
+	completeBytes int
 }
 
+// used returns the number of bytes of all open requests.
+func (m *requestMemory) used() int { return m.incomplete.Bytes() + m.completeBytes }
+
 // reserve reserves n bytes for an incomplete request of a session, and reports whether it did. If the memory is full, it
 // ends incomplete requests of sessions that use more memory for them than this session would.
 func (m *requestMemory) reserve(s *Session, n int) bool {
-	for m.used+n > m.limit {
-		largest := m.largestReader()
-		if largest == nil || largest.incompleteBytes <= s.incompleteBytes+n {
+	for m.used()+n > m.limit {
+		largest := m.incomplete.Largest()
+		if largest == nil || largest.Bytes() <= s.incompleteMemory.Bytes()+n {
 			return false
 		}
-		largest.endLargestIncomplete()
+		largest.Owner.endLargestIncomplete()
 	}
-	m.addIncomplete(s, n)
+	m.incomplete.Add(&s.incompleteMemory, n)
 	return true
 }
 
-// largestReader returns the session that uses the most memory for incomplete requests, or nil if there is none.
-func (m *requestMemory) largestReader() *Session {
-	var largest *Session
-	for _, s := range m.reading {
-		if largest == nil || s.incompleteBytes > largest.incompleteBytes {
-			largest = s
-		}
-	}
-	return largest
-}
-
-// addIncomplete adds n bytes, which may be negative, to the memory of a session's incomplete requests.
-func (m *requestMemory) addIncomplete(s *Session, n int) {
-	m.used += n
-	wasReading := s.incompleteBytes > 0
-	s.incompleteBytes += n
-	switch isReading := s.incompleteBytes > 0; {
-	case isReading && !wasReading:
-		s.readingIndex = len(m.reading)
-		m.reading = append(m.reading, s)
-	case wasReading && !isReading:
-		m.removeReader(s)
-	}
-}
-
-// removeReader removes a session from reading. The last session of the list takes its place.
-func (m *requestMemory) removeReader(s *Session) {
-	end := len(m.reading) - 1
-	last := m.reading[end]
-	m.reading[s.readingIndex], last.readingIndex = last, s.readingIndex
-	m.reading[end] = nil
-	m.reading = m.reading[:end]
-}
-
 // addComplete adds n bytes, which may be negative, to the memory of complete requests. It reports whether these use no more
 // than their share.
 func (m *requestMemory) addComplete(n int) bool {
-	m.used += n
 	m.completeBytes += n
 	return m.completeBytes <= m.limit*completeShareNumerator/completeShareDenominator
 }
@@ -80,7 +50,7 @@
 	if req.isComplete {
 		m.addComplete(-req.reservedBytes)
 	} else {
-		m.addIncomplete(s, -req.reservedBytes)
+		m.incomplete.Add(&s.incompleteMemory, -req.reservedBytes)
 	}
 	req.reservedBytes = 0
 }
--- a/internal/fastcgi/memory_test.go
+++ b/internal/fastcgi/memory_test.go
@@ -104,10 +104,10 @@
 				g, s, id := draw(t)
 				n := rapid.IntRange(1, 200).Draw(t, "bytes")
 				req := s.open[id]
-				isSafe := req != nil && !req.isComplete && req.reservedBytes+n <= limits.ParamBytes && s.incompleteBytes+n <= share()
+				isSafe := req != nil && !req.isComplete && req.reservedBytes+n <= limits.ParamBytes && s.incompleteMemory.Bytes()+n <= share()
 				g.feed(fake.EncodeRecord(fake.Params, id, make([]byte, n), 0))
 				if isSafe && s.open[id] != req {
-					t.Fatalf("a session was refused %d bytes, with %d bytes of incomplete requests", n, s.incompleteBytes)
+					t.Fatalf("a session was refused %d bytes, with %d bytes of incomplete requests", n, s.incompleteMemory.Bytes())
 				}
 			},
 			"complete": func(t *rapid.T) {
@@ -130,9 +130,9 @@
 		for _, g := range gateways {
 			g.session.Close()
 		}
-		if memory.used != 0 || memory.completeBytes != 0 || len(memory.reading) != 0 {
-			t.Fatalf("after all connections ended: %d bytes used, %d of complete requests, %d sessions reading", memory.used,
-				memory.completeBytes, len(memory.reading))
+		if memory.used() != 0 || memory.completeBytes != 0 || memory.incomplete.Owners() != 0 {
+			t.Fatalf("after all connections ended: %d bytes used, %d of complete requests, %d sessions with incomplete ones", memory.used(),
+				memory.completeBytes, memory.incomplete.Owners())
 		}
 	})
 }
@@ -150,21 +150,18 @@
 				incomplete += req.reservedBytes
 			}
 		}
-		if s.incompleteBytes != incomplete {
-			t.Fatalf("the session has %d bytes of incomplete requests in its account, want %d", s.incompleteBytes, incomplete)
+		if got := s.incompleteMemory.Bytes(); got != incomplete {
+			t.Fatalf("the session has %d bytes of incomplete requests in its account, want %d", got, incomplete)
 		}
 		if incomplete > 0 {
 			reading++
-			if memory.reading[s.readingIndex] != s {
-				t.Fatal("the session is not at its index")
-			}
 		}
 		used += incomplete
 	}
 	used += complete
-	if memory.used != used || memory.completeBytes != complete || len(memory.reading) != reading || used > memory.limit {
-		t.Fatalf("%d bytes used, %d of complete requests, %d sessions reading; want %d, %d, %d, and %d bytes at most", memory.used,
-			memory.completeBytes, len(memory.reading), used, complete, reading, memory.limit)
+	if memory.used() != used || memory.completeBytes != complete || memory.incomplete.Owners() != reading || used > memory.limit {
+		t.Fatalf("%d bytes used, %d of complete requests, %d sessions with incomplete ones; want %d, %d, %d, and %d bytes at most", memory.used(),
+			memory.completeBytes, memory.incomplete.Owners(), used, complete, reading, memory.limit)
 	}
 }
 
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"tillerusher/internal/gateway"
+	"tillerusher/internal/usage"
 )
 
 const (
@@ -83,12 +84,10 @@
 	// ended one after the other do not end the connection, but an endless body soon does.
 	skipAllowance int
 	incomplete    int // number of open requests that are incomplete
-	// incompleteBytes is the memory of the incomplete requests. If it is above 0, readingIndex is the session's index in
-	// requestMemory.reading.
-	incompleteBytes int
-	readingIndex    int
-	hasEnded        bool // input is ignored, and the connection is closed once the complete requests have responses
-	shared          *sharedState
+	// incompleteMemory is the memory of the incomplete requests.
+	incompleteMemory usage.Account[*Session]
+	hasEnded         bool // input is ignored, and the connection is closed once the complete requests have responses
+	shared           *sharedState
 }
 
 // NewProtocol returns a protocol whose sessions enforce the limits. The sessions share state without a lock, so they must
@@ -96,7 +95,9 @@
 func NewProtocol(limits Limits) gateway.Protocol {
 	shared := &sharedState{memory: requestMemory{limit: limits.TotalBytes}}
 	return func(out gateway.Output, h gateway.Handler) gateway.Session {
-		return &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}, skipAllowance: minSkipAllowance}
+		session := &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}, skipAllowance: minSkipAllowance}
+		session.incompleteMemory.Owner = session
+		return session
 	}
 }
 
