Reset the request timeout of a connection whose incomplete request was ended for lack of memory

An incomplete request can now be ended by the input of another connection.

Cause: incompleteSince was updated only when the connection itself got input.

Evidence: TestEndedRequestResetsRequestTimeout failed before ("the connection is overdue").

--- a/server/gateway_conn.go
+++ b/server/gateway_conn.go
@@ -60,7 +60,7 @@
 		return
 	}
 	switch {
-	case g.validRequests > 0 && !g.session.HasPartialInput():
+	case g.isBetweenRequests():
 		g.incompleteSince = time.Time{}
 	case g.incompleteSince.IsZero() || g.validRequests != validBefore:
 		g.incompleteSince = g.server.loop.Now()
@@ -163,6 +163,9 @@
 		status = statusInternalError
 	}
 	g.respond(stream, gateway.Response{Status: status})
+	if g.isBetweenRequests() { // another connection's input may have ended the last incomplete request
+		g.incompleteSince = time.Time{}
+	}
 }
 
 // RequestRejected implements gateway.Handler.
@@ -194,6 +197,11 @@
 // hasOpenRequests reports whether the connection has unanswered requests.
 func (g *gatewayConn) hasOpenRequests() bool { return len(g.attempts)+len(g.healthChecks) > 0 }
 
+// isBetweenRequests reports whether the connection has sent a valid request and no part of a next one.
+func (g *gatewayConn) isBetweenRequests() bool {
+	return g.validRequests > 0 && !g.session.HasPartialInput()
+}
+
 // isIdle reports whether the connection has no open request and no partially received one, since gateways may write
 // slowly.
 func (g *gatewayConn) isIdle() bool {
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"tillerusher/internal/eventloop"
 	"tillerusher/internal/fake"
 	"tillerusher/internal/servertest"
 )
@@ -80,3 +81,30 @@
 		t.Errorf("answer to a request that has not run %+v, want the protocol status for overload", a)
 	}
 }
+
+// TestEndedRequestResetsRequestTimeout guards against the end of a gateway's connection as overdue after its incomplete
+// request was ended for lack of memory: the connection waits for no request any more.
+func TestEndedRequestResetsRequestTimeout(t *testing.T) {
+	const requestMemory = 1 << 20 / requestMemoryDivisor
+	it := servertest.NewInterpreter(t)
+	it.FinishImmediately()
+	s := startServerWithMemory(t, eventloop.Kernel{}, testSite(t), it, 1)
+	g := servertest.Dial(t, s.cfg.Listen.String())
+	servertest.WaitFor(t, "a healthy server", func() bool { return checkHealth(g, false) == 200 })
+	g.Write(incompleteRequest(2, MaxParamsBytes))
+	waitRound(s)
+	const size = MaxParamsBytes / 2
+	for range requestMemory / size {
+		servertest.Dial(t, s.cfg.Listen.String()).Write(incompleteRequest(1, size))
+	}
+	if a := g.WaitResponse(2); a.Status != statusInternalError {
+		t.Errorf("answer to the largest incomplete request %+v, want status 500", a)
+	}
+	onLoop(s, func() {
+		for conn := range s.conns.all() {
+			if conn.validRequests > 0 && conn.isOverdue(s.loop.Now().Add(requestTimeout)) {
+				t.Error("the connection is overdue, although it has sent only complete and ended requests")
+			}
+		}
+	})
+}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -53,10 +53,16 @@
 
 // startServerWith starts a server with an interpreter that may be down, and does not wait until the server is healthy.
 func startServerWith(t *testing.T, system eventloop.System, site *settings.Site, it *servertest.Interpreter) *Server {
+	t.Helper()
+	return startServerWithMemory(t, system, site, it, 64)
+}
+
+// startServerWithMemory is like startServerWith, for a server with the given memory limit.
+func startServerWithMemory(t *testing.T, system eventloop.System, site *settings.Site, it *servertest.Interpreter, memoryMB int) *Server {
 	t.Helper()
 	cfg := &config.Config{Name: "n3", Listen: netip.MustParseAddrPort(servertest.FreeAddr(t)),
 		Interpreter: netip.MustParseAddrPort(it.Addr()), LoadReports: netip.MustParseAddrPort("127.0.0.1:9"),
-		StopTimeout: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64}, Settings: site}
+		StopTimeout: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: memoryMB, Sockets: 64}, Settings: site}
 	s, err := NewOnSystem(system, cfg, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
