--- a/server/durable_test.go
+++ b/server/durable_test.go
@@ -112,10 +112,18 @@
 	return false
 }
 
-// startDurableServer starts a server that keeps results across restarts.
+// startDurableServer starts a server that keeps results across restarts, and waits until it is healthy.
 func startDurableServer(t *testing.T, store *fakeStore, limits idempotency.Limits) (*Server, *servertest.Interpreter, *servertest.Gateway) {
 	t.Helper()
 	it := servertest.NewInterpreter(t)
+	s, g := startDurableServerWith(t, store, limits, it)
+	servertest.WaitFor(t, "a healthy server", func() bool { return checkHealth(g, false) == 200 })
+	return s, it, g
+}
+
+// startDurableServerWith is like startDurableServer, with an interpreter that may be down, and does not wait.
+func startDurableServerWith(t *testing.T, store *fakeStore, limits idempotency.Limits, it *servertest.Interpreter) (*Server, *servertest.Gateway) {
+	t.Helper()
 	cfg := &config.Config{Name: "n3", Listen: netip.MustParseAddrPort(servertest.FreeAddr(t)), Interpreter: netip.MustParseAddrPort(it.Addr()),
 		LoadReports: netip.MustParseAddrPort("127.0.0.1:9"), StopTimeout: time.Second, Limits: config.Limits{Cores: 1, MemoryMB: 64, Sockets: 64},
 		Settings: testSite(t)}
@@ -132,9 +140,7 @@
 		}
 	})
 	runUntilTestEnd(t, s)
-	g := servertest.Dial(t, cfg.Listen.String())
-	servertest.WaitFor(t, "a healthy server", func() bool { return checkHealth(g, false) == 200 })
-	return s, it, g
+	return s, servertest.Dial(t, cfg.Listen.String())
 }
 
 var largeLimits = idempotency.Limits{MaxKeys: 100, MaxBytes: 1 << 20}
@@ -256,3 +262,28 @@
 		t.Errorf("%d runs, want 0", n)
 	}
 }
+
+// TestRetryBeforeInterpreterIsUp guards against the rejection of a retry whose request an earlier process has run, because the
+// interpreter of the new process is not up yet. Requests that have not run are rejected.
+func TestRetryBeforeInterpreterIsUp(t *testing.T) {
+	store := &fakeStore{records: map[string][]byte{}}
+	t.Run("before", func(t *testing.T) {
+		_, it, g := startDurableServer(t, store, largeLimits)
+		it.FinishImmediately()
+		g.Write(fake.NewReserve(1, "b").Encode(1))
+		g.WaitResponse(1)
+		servertest.WaitFor(t, "the result", func() bool { return store.has(idempotency.Completed) })
+	})
+	store.closed = false
+	it := servertest.NewInterpreter(t)
+	it.MarkDown()
+	_, g := startDurableServerWith(t, store, largeLimits, it)
+	g.Write(fake.NewReserve(1, "b").WithHeader("Attempt-Again", "1").Encode(1))
+	if a := g.WaitResponse(1); a.Status != 200 || string(a.Body) != "[b]" {
+		t.Errorf("answer to a retry of a request that has run %+v, want status 200 and body [b]", a)
+	}
+	g.Write(fake.NewReserve(3, "new").Encode(1))
+	if a := g.WaitResponse(1); a.Status != 503 {
+		t.Errorf("answer to a request that has not run %+v, want status 503", a)
+	}
+}
