--- a/internal/fake/fastcgi.go
+++ b/internal/fake/fastcgi.go
@@ -110,6 +110,12 @@
 	return append(b, EncodeRecord(Stdin, id, nil, 0)...)
 }
 
+// EncodeIncomplete returns the records of a request that stops within its parameters, of which it has size bytes.
+func EncodeIncomplete(id uint16, size int) []byte {
+	params := EncodePair("HTTP_X", strings.Repeat("x", size), true)
+	return append(EncodeBeginRequest(id, roleResponder, true), EncodeRecord(Params, id, params[:size], 0)...)
+}
+
 // Response is a server's response to a request, or a management record if ID is 0.
 type Response struct {
 	ID             uint16 // FastCGI request ID
--- a/internal/fastcgi/memory_test.go
+++ b/internal/fastcgi/memory_test.go
@@ -21,12 +21,6 @@
 	return gateways
 }
 
-// beginRequest returns the beginning of a request: size bytes of parameters, which are not complete.
-func beginRequest(id uint16, size int) []byte {
-	params := fake.EncodePair("HTTP_X", strings.Repeat("x", size), true)
-	return append(fake.EncodeBeginRequest(id, 1, true), fake.EncodeRecord(fake.Params, id, params[:size], 0)...)
-}
-
 // TestTotalBytesLimit sends complete requests that use more than their share of Limits.TotalBytes, over two sessions.
 // Those above the share must be received and marked, so that the handler can look them up before it rejects them.
 // Responses and the end of a connection must free memory for new requests.
@@ -63,8 +57,8 @@
 func TestIncompleteRequestsYieldMemory(t *testing.T) {
 	gateways := newTestGateways(t, 3, Limits{OpenRequests: 4, ParamBytes: 1000, BodyBytes: 100, TotalBytes: 2000})
 	large, small, g := gateways[0], gateways[1], gateways[2]
-	large.feed(beginRequest(1, 700), beginRequest(2, 800))
-	small.feed(beginRequest(1, 500))
+	large.feed(fake.EncodeIncomplete(1, 700), fake.EncodeIncomplete(2, 800))
+	small.feed(fake.EncodeIncomplete(1, 500))
 	g.feed(newLookupRequest("body").Encode(1))
 	if string(g.received[1].Body) != "body" {
 		t.Errorf("the handler did not receive the request; responses %+v, reasons %v", g.responses, g.reasons)
@@ -75,7 +69,7 @@
 	if len(small.responses) != 0 {
 		t.Errorf("responses on the other connection %+v, want none", small.responses)
 	}
-	large.feed(beginRequest(3, 1000))
+	large.feed(fake.EncodeIncomplete(3, 1000))
 	if len(large.responses) != 2 || large.responses[1].ID != 3 || large.responses[1].Status != 500 || len(small.responses) != 0 {
 		t.Errorf("responses %+v and %+v, want that the connection with the most memory gets no more", large.responses, small.responses)
 	}
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"strings"
 	"testing"
 
 	"tillerusher/internal/eventloop"
@@ -9,12 +8,6 @@
 	"tillerusher/internal/servertest"
 )
 
-// incompleteRequest returns the beginning of a request: size bytes of parameters, which are not complete.
-func incompleteRequest(id uint16, size int) []byte {
-	params := fake.EncodePair("HTTP_X", strings.Repeat("x", size), true)
-	return append(fake.EncodeBeginRequest(id, 1, true), fake.EncodeRecord(fake.Params, id, params[:size], 0)...)
-}
-
 // fillRequestMemory has clients send incomplete requests until the memory for requests is full: first large ones, and then
 // smaller ones, which fit in what the large ones leave.
 func fillRequestMemory(t *testing.T, s *Server) {
@@ -23,7 +16,7 @@
 		for endedBefore := incompleteEnded(s); incompleteEnded(s) == endedBefore; {
 			client := servertest.Dial(t, s.cfg.Listen.String())
 			for id := range uint16(MaxOpenRequests) {
-				client.Write(incompleteRequest(id+1, size))
+				client.Write(fake.EncodeIncomplete(id+1, size))
 			}
 			waitRound(s)
 		}
@@ -91,11 +84,11 @@
 	s := startServerWithMemory(t, eventloop.Kernel{}, testSite(t), it, 1)
 	g := servertest.Dial(t, s.cfg.Listen.String())
 	servertest.WaitFor(t, "a healthy server", func() bool { return checkHealth(g, false) == 200 })
-	g.Write(incompleteRequest(2, MaxParamsBytes))
+	g.Write(fake.EncodeIncomplete(2, MaxParamsBytes))
 	waitRound(s)
 	const size = MaxParamsBytes / 2
 	for range requestMemory / size {
-		servertest.Dial(t, s.cfg.Listen.String()).Write(incompleteRequest(1, size))
+		servertest.Dial(t, s.cfg.Listen.String()).Write(fake.EncodeIncomplete(1, size))
 	}
 	if a := g.WaitResponse(2); a.Status != statusInternalError {
 		t.Errorf("answer to the largest incomplete request %+v, want status 500", a)
