--- a/server/durable_test.go
+++ b/server/durable_test.go
@@ -240,8 +240,9 @@
 	}
 }
 
-// TestBodyHashesOverRestarts checks that a key with another body is also rejected after a restart.
-func TestBodyHashesOverRestarts(t *testing.T) {
+// storeOfEarlierServer returns the store of a server that has run reservation 1 with the body "b", and has ended.
+func storeOfEarlierServer(t *testing.T) *fakeStore {
+	t.Helper()
 	store := &fakeStore{records: map[string][]byte{}}
 	t.Run("before", func(t *testing.T) {
 		_, it, g := startDurableServer(t, store, largeLimits)
@@ -251,6 +252,12 @@
 		servertest.WaitFor(t, "the result", func() bool { return store.has(idempotency.Completed) })
 	})
 	store.closed = false
+	return store
+}
+
+// TestBodyHashesOverRestarts checks that a key with another body is also rejected after a restart.
+func TestBodyHashesOverRestarts(t *testing.T) {
+	store := storeOfEarlierServer(t)
 	_, it, g := startDurableServer(t, store, largeLimits)
 	for body, want := range map[string]int{"b": 200, "other": 400} {
 		g.Write(fake.NewReserve(1, body).Encode(1))
@@ -266,15 +273,7 @@
 // TestRetryBeforeInterpreterIsUp guards against the rejection of a retry whose request an earlier process has run, because the
 // interpreter of the new process is not up yet. Requests that have not run are rejected.
 func TestRetryBeforeInterpreterIsUp(t *testing.T) {
-	store := &fakeStore{records: map[string][]byte{}}
-	t.Run("before", func(t *testing.T) {
-		_, it, g := startDurableServer(t, store, largeLimits)
-		it.FinishImmediately()
-		g.Write(fake.NewReserve(1, "b").Encode(1))
-		g.WaitResponse(1)
-		servertest.WaitFor(t, "the result", func() bool { return store.has(idempotency.Completed) })
-	})
-	store.closed = false
+	store := storeOfEarlierServer(t)
 	it := servertest.NewInterpreter(t)
 	it.MarkDown()
 	_, g := startDurableServerWith(t, store, largeLimits, it)
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -29,16 +29,24 @@
 	return n
 }
 
-// TestIncompleteRequestsDoNotRejectRanRequest guards against the rejection of a retry whose request has run, when clients
-// that halt in the middle of their requests hold all memory for requests.
-func TestIncompleteRequestsDoNotRejectRanRequest(t *testing.T) {
-	s, it := startServer(t)
+// serveReserve has the first reservation of a server run with the result "done", and returns the connection on which it was
+// sent.
+func serveReserve(t *testing.T, s *Server, it *servertest.Interpreter) *servertest.Gateway {
+	t.Helper()
 	g := servertest.Dial(t, s.cfg.Listen.String())
 	g.Write(fake.NewReserve(7, "x").Encode(1))
 	it.EndRun(it.WaitRuns(1)[0].ID, "OK", []byte("done"))
 	if a := g.WaitResponse(1); a.Status != 200 {
 		t.Fatalf("answer to the first attempt %+v, want status 200", a)
 	}
+	return g
+}
+
+// TestIncompleteRequestsDoNotRejectRanRequest guards against the rejection of a retry whose request has run, when clients
+// that halt in the middle of their requests hold all memory for requests.
+func TestIncompleteRequestsDoNotRejectRanRequest(t *testing.T) {
+	s, it := startServer(t)
+	g := serveReserve(t, s, it)
 	fillRequestMemory(t, s)
 	g.Write(fake.NewReserve(7, "x").WithHeader("Attempt-Again", "1").Encode(2))
 	if a := g.WaitResponse(2); a.Status != 200 || string(a.Body) != "done" {
@@ -55,12 +63,7 @@
 // has as many open requests as allowed.
 func TestRequestOverLimitNotRejectedAfterRun(t *testing.T) {
 	s, it := startServer(t)
-	g := servertest.Dial(t, s.cfg.Listen.String())
-	g.Write(fake.NewReserve(7, "x").Encode(1))
-	it.EndRun(it.WaitRuns(1)[0].ID, "OK", []byte("done"))
-	if a := g.WaitResponse(1); a.Status != 200 {
-		t.Fatalf("answer to the first attempt %+v, want status 200", a)
-	}
+	g := serveReserve(t, s, it)
 	for id := range uint16(MaxOpenRequests) {
 		g.Write(fake.NewLookup("").Encode(id + 1))
 	}
