Open a new database instance only when no disk call of the failed one is in progress

What was seen: TestDiskRecovers failed in about 2 of 24 runs beside load: after a disk failure and recovery a table file was empty, so that records reported as durable were lost.

Cause: the detachment of a failed Pebble instance was checked before each call to the disk, not together with it (engine.checkAttached). A goroutine of the failed instance that had passed the check created its table file after the next instance had created one of the same name. Files reused for the log, SyncData and SyncTo were not checked at all.

Change: diskAccess counts the calls of an instance that are in progress, on its file system and on all its files. The writer opens the next instance only once the access of the last one is detached and idle, for 5 s at most; then the write fails as on a stalled disk.

Why it works: a call either begins after the detachment and fails, or ends before the next instance is opened.

Evidence: TestLateFileCreation forces the order.

--- a/internal/store/disk_failure_test.go
+++ b/internal/store/disk_failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -10,6 +11,8 @@
 
 	"github.com/cockroachdb/pebble/vfs"
 	"github.com/cockroachdb/pebble/vfs/errorfs"
+
+	"tillerusher/internal/servertest"
 )
 
 // writeDeadline is how long a store may take to report the outcome of a write, far more than it needs.
@@ -99,6 +102,69 @@
 	t.Logf("%d writes failed, the database was reopened %d times", failures, opened)
 }
 
+// heldDisk is a file system on which the creation of the next table file is held after it was begun.
+type heldDisk struct {
+	vfs.FS
+	isArmed atomic.Bool
+	begun   chan struct{}
+	proceed chan struct{}
+	ended   chan struct{}
+}
+
+// Create implements vfs.FS.
+func (d *heldDisk) Create(name string) (vfs.File, error) {
+	if !strings.HasSuffix(name, ".sst") || !d.isArmed.CompareAndSwap(true, false) {
+		return d.FS.Create(name)
+	}
+	close(d.begun)
+	<-d.proceed
+	defer close(d.ended)
+	return d.FS.Create(name)
+}
+
+// TestLateFileCreation guards against the loss of durable records because a file creation that a failed engine began before it
+// was detached truncates a table file of the next engine.
+func TestLateFileCreation(t *testing.T) {
+	failing := newFailingDisk(syscall.EIO)
+	disk := &heldDisk{FS: failing, begun: make(chan struct{}), proceed: make(chan struct{}), ended: make(chan struct{})}
+	s := open(t, disk)
+	put := func(name string) error { return write(s, Change{Name: name, Value: []byte("value of " + name)}) }
+	if err := put("first"); err != nil {
+		t.Fatal(err)
+	}
+	disk.isArmed.Store(true)
+	go s.CompactAll() // its flush creates a table file; the engine fails meanwhile, so it never returns
+	<-disk.begun
+	failing.callsLeft.Store(0)
+	if err := put("fails"); err == nil {
+		t.Fatal("a write succeeded although the disk failed")
+	}
+	failing.callsLeft.Store(unlimited)
+	written := make(chan error, 1)
+	go func() { written <- put("second") }()
+	servertest.WaitFor(t, "the next engine, or that it waits for the file creation", func() bool {
+		return len(written) > 0 || isAwaited(s.disk)
+	})
+	close(disk.proceed)
+	<-disk.ended
+	if err := <-written; err != nil {
+		t.Errorf("write after the disk works again: %v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	s = open(t, disk)
+	defer s.Close()
+	checkDurable(t, s, map[string]string{"first": "value of first", "second": "value of second"}, "after reopening")
+}
+
+// isAwaited reports whether the next engine waits for a call of a detached one.
+func isAwaited(disk *diskAccess) bool {
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	return disk.idle != nil
+}
+
 // putRandom writes a record and reports whether the write succeeded. It sets the record in durable to the new value, or to ""
 // if the write failed: the store may then have either value.
 func putRandom(t *testing.T, s *Store, rng *rand.Rand, durable map[string]string) bool {
--- a/internal/store/engine.go
+++ b/internal/store/engine.go
@@ -3,13 +3,10 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/pebble"
-	"github.com/cockroachdb/pebble/vfs"
-	"github.com/cockroachdb/pebble/vfs/errorfs"
 )
 
 // engine is an open Pebble database. Pebble does not continue after a failed write: it may call Fatalf to end the process, or
@@ -17,11 +14,11 @@
 // is detached from the disk, and a new engine replaces it once the disk works again.
 type engine struct {
 	db     *pebble.DB
+	disk   *diskAccess
 	failed chan struct{} // closed on the first failure
 
-	mu       sync.Mutex
-	err      error // the first failure
-	detached bool  // whether every call to the disk fails
+	mu  sync.Mutex
+	err error // the first failure
 }
 
 // Limits that bound the memory and the open files of the database, since the server may have little memory.
@@ -42,16 +39,10 @@
 	maxL0Files = 1 << 20
 )
 
-// lockedFS is a file system whose Lock does nothing, since the Store already holds the directory's lock. The Store keeps the
-// lock when it replaces an engine.
-type lockedFS struct{ vfs.FS }
-
-// Lock implements vfs.FS.
-func (lockedFS) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
-
-// openEngine opens the database of a directory. The caller must hold the directory's lock.
-func openEngine(config Config) (*engine, error) {
-	opened := &engine{failed: make(chan struct{})}
+// openEngine opens the database of a directory through an access of its own, which it detaches if it fails. The caller must
+// hold the directory's lock, and the access of an earlier engine must be detached and idle.
+func openEngine(config Config, disk *diskAccess) (*engine, error) {
+	opened := &engine{disk: disk, failed: make(chan struct{})}
 	cache := pebble.NewCache(cacheBytes)
 	defer cache.Unref()
 	options := opened.options(config, cache)
@@ -61,7 +52,7 @@
 		return err
 	})
 	if err != nil {
-		opened.detach()
+		disk.detach()
 		return nil, openError(config.Dir, err)
 	}
 	opened.db = db
@@ -70,9 +61,8 @@
 
 // options returns the Pebble options of the engine.
 func (e *engine) options(config Config, cache *pebble.Cache) *pebble.Options {
-	disk := errorfs.Wrap(config.FS, errorfs.InjectorFunc(e.checkAttached))
 	return &pebble.Options{
-		FS:                          lockedFS{disk},
+		FS:                          e.disk,
 		Logger:                      e,
 		ReadOnly:                    config.ReadOnly,
 		ErrorIfNotExists:            config.ReadOnly,
@@ -86,16 +76,6 @@
 	}
 }
 
-// checkAttached returns errDetached if the engine was detached. It is called before each call to the disk.
-func (e *engine) checkAttached(errorfs.Op, string) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.detached {
-		return errDetached
-	}
-	return nil
-}
-
 // Infof implements pebble.Logger. It discards the message, since failures are returned as errors.
 func (e *engine) Infof(string, ...interface{}) {}
 
@@ -124,13 +104,6 @@
 	}
 }
 
-// detach makes all further calls to the disk fail, so that an abandoned goroutine cannot interfere with the next engine.
-func (e *engine) detach() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.detached = true
-}
-
 // runAbandonable runs work on a new goroutine and returns its error. If the engine fails before work ends, it abandons the
 // goroutine and returns the engine's failure.
 func (e *engine) runAbandonable(work func() error) error {
@@ -197,7 +170,7 @@
 	case err := <-closed:
 		return err
 	case <-time.After(closeTimeout):
-		e.detach()
+		e.disk.detach()
 		return errDiskStalled
 	}
 }
--- a/internal/store/reopen.go
+++ b/internal/store/reopen.go
@@ -28,8 +28,9 @@
 }
 
 // currentEngine returns the engine to write with. If the last one failed, it probes the disk and, if the disk works again,
-// opens a new engine. That may take long, so s.mu is not held meanwhile. No other goroutine opens an engine at the same time,
-// because only the writer's goroutine calls currentEngine.
+// opens a new engine. A call to the disk that the last engine began before it was detached must end first: it might truncate or
+// remove a file of the new engine. All of this may take long, so s.mu is not held meanwhile. No other goroutine opens an engine
+// at the same time, because only the writer's goroutine calls currentEngine.
 func (s *Store) currentEngine() (*engine, error) {
 	s.mu.RLock()
 	current, stuck := s.engine, s.stuckEngines
@@ -43,7 +44,11 @@
 	if err := s.probeDisk(); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
-	reopened, err := openEngine(s.config)
+	if err := s.disk.waitIdle(hungWriteTimeout); err != nil {
+		return nil, err
+	}
+	s.disk = newDiskAccess(s.config.FS)
+	reopened, err := openEngine(s.config, s.disk)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -57,7 +62,7 @@
 
 // abandonEngine detaches a failed engine and closes it in the background.
 func (s *Store) abandonEngine(failed *engine) {
-	failed.detach()
+	failed.disk.detach()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.engine != failed {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -28,7 +28,8 @@
 	config   Config
 	lock     io.Closer
 	identity Identity
-	writer   *writer // nil if the directory is opened read-only
+	writer   *writer     // nil if the directory is opened read-only
+	disk     *diskAccess // of the last engine; used by Open and then by the writer's goroutine
 
 	mu           sync.RWMutex
 	engine       *engine // nil after a failure, until the disk works again
@@ -90,7 +91,8 @@
 // openDatabase opens the first engine and checks the directory's identity.
 func (s *Store) openDatabase() error {
 	var err error
-	if s.engine, err = openEngine(s.config); err != nil {
+	s.disk = newDiskAccess(s.config.FS)
+	if s.engine, err = openEngine(s.config, s.disk); err != nil {
 		return err
 	}
 	if err := s.loadIdentity(); err != nil {
