Evict connections that halted in the middle of a later request when the table is full

What callers saw: a new connection of a gateway was closed with its request, while clients that had sent one complete request (a health check is enough) and halted in the middle of the next held all connections, for up to 2.5 s each.

Cause: evict knew silent connections, which have never sent a complete request, and idle ones. One that has sent a complete request and waits for the rest of the next is neither, and was always kept.

Change: connections that only wait for the rest of a request count together, whether it is the first or a later one. If they are at least half of all, the one that has waited longest is evicted, as silent ones were; otherwise one that has halted for longer than newConnGrace comes after the idle ones.

--- a/server/conns.go
+++ b/server/conns.go
@@ -29,7 +29,7 @@
 	// sendTimeout is how long a connection with unsent output may neither send nor receive a byte before it is closed.
 	sendTimeout = 30 * time.Second
 	// newConnGrace is how long a new connection that has sent nothing is not closed as idle. It is not evicted in this
-	// time either, unless too many connections are silent: see evict.
+	// time either, nor is one that has halted in the middle of a request, unless there are too many of these: see evict.
 	newConnGrace = 250 * time.Millisecond
 	// minIdleBeforeEviction is how long a connection that has served requests must be idle before it may be evicted.
 	minIdleBeforeEviction = 50 * time.Millisecond
@@ -138,6 +138,7 @@
 
 const (
 	priorityKeep    evictionPriority = iota // must not be evicted
+	priorityStalled                         // has served requests, and has halted in the middle of the next one
 	priorityIdle                            // has served requests and is idle
 	prioritySilent                          // has never sent a complete request, and is not new
 	priorityClosing                         // half-closed by this side
@@ -145,28 +146,30 @@
 
 // evictionScan is the result of a scan of all connections.
 type evictionScan struct {
-	now                time.Time
-	candidate          *gatewayConn     // least recently active connection of the highest priority
-	priority           evictionPriority // of the candidate
-	silentCount        int              // number of connections that have never sent a complete request
-	oldestSilent       *gatewayConn     // oldest silent connection without unread bytes in its socket
-	firstSilentPending *gatewayConn     // first silent connection found with unread bytes in its socket
+	now       time.Time
+	candidate *gatewayConn     // least recently active connection of the highest priority
+	priority  evictionPriority // of the candidate
+	// awaitingCount is the number of connections that only wait for the rest of a request: see isAwaitingRequest.
+	awaitingCount        int
+	oldestAwaiting       *gatewayConn // the one that has waited longest, without unread bytes in its socket
+	firstAwaitingPending *gatewayConn // the first one found with unread bytes in its socket
 }
 
 // evict closes a connection to make room for a new one, and reports whether it did. Clients that open hundreds of
-// connections and stay silent, or send one request and stay connected, must not keep gateways out. It prefers
-// connections that this side has half-closed, then silent ones, which have never sent a complete request, then the one
-// that has been idle longest. If at least half of all connections are silent, it evicts the oldest silent one however
-// new that is, so that silent connections can't take the half that gateways may need. A connection with unread bytes in
-// its socket is kept while there is another candidate: it may belong to a gateway whose request has just arrived.
+// connections and stay silent, halt in the middle of a request, or send one request and stay connected, must not keep
+// gateways out. It prefers connections that this side has half-closed, then silent ones, which have never sent a complete
+// request, then the one that has been idle longest, then one that has halted in the middle of a later request. If at least
+// half of all connections only wait for the rest of a request, it evicts the one that has waited longest, however short that
+// is, so that such connections can't take the half that gateways may need. A connection with unread bytes in its socket is
+// kept while there is another candidate: it may belong to a gateway whose request has just arrived.
 func (t *connTable) evict() bool {
 	scan := evictionScan{now: t.loop.Now()}
 	for g := range t.all() {
 		scan.add(g)
 	}
 	evicted := scan.candidate
-	if scan.priority < prioritySilent && 2*scan.silentCount >= t.len() {
-		evicted = cmp.Or(scan.oldestSilent, scan.firstSilentPending)
+	if scan.priority < prioritySilent && 2*scan.awaitingCount >= t.len() {
+		evicted = cmp.Or(scan.oldestAwaiting, scan.firstAwaitingPending)
 	} else if evicted == nil || scan.priority == priorityIdle && !evicted.conn.IsIdle(minIdleBeforeEviction) {
 		return false
 	}
@@ -177,8 +180,7 @@
 
 // add compares a connection with the candidate. Of two equal ones, the one accepted first stays the candidate.
 func (e *evictionScan) add(g *gatewayConn) {
-	isSilent := g.validRequests == 0 && !g.conn.IsClosing()
-	if isSilent && e.addSilent(g) {
+	if g.isAwaitingRequest() && e.addAwaiting(g) {
 		return
 	}
 	priority := e.priorityOf(g)
@@ -189,18 +191,18 @@
 	}
 }
 
-// addSilent counts a connection that has never sent a complete request. It reports whether unread bytes in the socket
+// addAwaiting counts a connection that only waits for the rest of a request. It reports whether unread bytes in the socket
 // keep the connection from being the candidate.
-func (e *evictionScan) addSilent(g *gatewayConn) bool {
-	e.silentCount++
-	if e.oldestSilent != nil && !g.incompleteSince.Before(e.oldestSilent.incompleteSince) {
+func (e *evictionScan) addAwaiting(g *gatewayConn) bool {
+	e.awaitingCount++
+	if e.oldestAwaiting != nil && !g.incompleteSince.Before(e.oldestAwaiting.incompleteSince) {
 		return false
 	}
 	if g.conn.HasPendingInput() {
-		e.firstSilentPending = cmp.Or(e.firstSilentPending, g)
+		e.firstAwaitingPending = cmp.Or(e.firstAwaitingPending, g)
 		return true
 	}
-	e.oldestSilent = g
+	e.oldestAwaiting = g
 	return false
 }
 
@@ -211,6 +213,8 @@
 		return priorityClosing
 	case g.validRequests == 0 && e.now.Sub(g.incompleteSince) >= newConnGrace:
 		return prioritySilent
+	case g.isAwaitingRequest() && e.now.Sub(g.incompleteSince) >= newConnGrace:
+		return priorityStalled
 	case g.validRequests > 0 && g.isIdle() && e.now.Sub(g.conn.LastActivity()) >= minIdleBeforeEviction:
 		return priorityIdle
 	default:
--- a/server/gateway_conn.go
+++ b/server/gateway_conn.go
@@ -208,10 +208,15 @@
 	return g.session.OpenRequests() == 0 && !g.session.HasPartialInput()
 }
 
+// isAwaitingRequest reports whether the connection only waits for the rest of a request, the first or a later one, and for no
+// answer.
+func (g *gatewayConn) isAwaitingRequest() bool {
+	return !g.conn.IsClosing() && !g.incompleteSince.IsZero() && !g.hasOpenRequests()
+}
+
 // isOverdue reports whether a connection has not sent a complete request in time and waits for no answer.
 func (g *gatewayConn) isOverdue(now time.Time) bool {
-	return !g.conn.IsClosing() && !g.incompleteSince.IsZero() && now.Sub(g.incompleteSince) >= requestTimeout &&
-		!g.hasOpenRequests()
+	return g.isAwaitingRequest() && now.Sub(g.incompleteSince) >= requestTimeout
 }
 
 // idleAllowance returns how long this connection may be idle, given the idle timeout of all. A new connection gets at
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -104,3 +104,23 @@
 		}
 	})
 }
+
+// TestIncompleteRequestsYieldConnections guards against the end of new gateway connections without an answer while clients that
+// have sent one complete request, and then halt in the middle of the next, hold all connections.
+func TestIncompleteRequestsYieldConnections(t *testing.T) {
+	s, it := startServer(t)
+	it.FinishImmediately()
+	for range s.conns.max {
+		client := servertest.Dial(t, s.cfg.Listen.String())
+		if checkHealth(client, false) != statusOK {
+			t.Fatal("the health check of a client failed")
+		}
+		client.Write(fake.EncodeIncomplete(2, 100))
+	}
+	waitRound(s)
+	g := servertest.Dial(t, s.cfg.Listen.String())
+	g.Write(fake.NewLookup("x").Encode(1))
+	if a, err := g.TryResponse(1); err != nil || a.Status != statusOK {
+		t.Errorf("answer on a new connection %+v, error %v; want status 200", a, err)
+	}
+}
