Accept connections no faster than they are read

What callers saw: while a crowd of 1,200 clients connected again and again, requests on a gateway's new connection got no answer: the server reset the connection 0.05 to 0.3 s after it was opened.

Cause: a round accepted up to 64 connections, but with 32 KB pending on each it reads about 20. The table filled with connections that were not read yet, and eviction, which spares unread ones only while there are others, took the one accepted first.

Change: a round accepts at most an eighth of the table, and after a round that could not read all connections at most half the number that such a round reads. The rest waits in the kernel, where nothing is lost.

Why it works: rounds read ready connections in turn, so a new connection is read before so many others are accepted that it is the oldest one.

TestFloodIsFair, TestEviction and the TestCross tests pass.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -11,6 +11,9 @@
 const (
 	listenBacklog = 512
 	maxAccepts    = 64 // maximum number of accept attempts in one round
+	// maxAcceptsWhileFull is maxAccepts after a round that could not read all connections. It is half the number of
+	// connections that such a round reads at least, so that connections are not accepted faster than they are read.
+	maxAcceptsWhileFull = arenaSize / readSize / 2
 	// acceptPause is how long a listener pauses when no connection can be accepted, or when descriptors have run out and no
 	// connection can be rejected either.
 	acceptPause = 50 * time.Millisecond
@@ -22,6 +25,9 @@
 	OnConn func(c *Conn) ConnHandler
 	// OnError is called with the error if a connection could not be accepted.
 	OnError func(err error)
+	// MaxPerRound is the maximum number of connections that are accepted in one round; 0 means that only the loop's own
+	// limits apply.
+	MaxPerRound int
 }
 
 // Listener accepts stream connections.
@@ -77,15 +83,27 @@
 
 // gather implements source.
 func (ln *Listener) gather(uint32) {
-	if !ln.accept() {
+	if !ln.accept(ln.maxAttempts()) {
 		ln.pause() // the descriptor stays ready, so the loop would spin otherwise
 	}
 }
 
-// accept accepts waiting connections, in at most maxAccepts attempts. It reports whether the listener can continue without
-// a pause.
-func (ln *Listener) accept() bool {
-	for range maxAccepts {
+// maxAttempts returns the maximum number of accept attempts in this round.
+func (ln *Listener) maxAttempts() int {
+	limit := maxAccepts
+	if ln.loop.input.wasArenaFull {
+		limit = maxAcceptsWhileFull
+	}
+	if ln.callbacks.MaxPerRound > 0 {
+		limit = min(limit, ln.callbacks.MaxPerRound)
+	}
+	return limit
+}
+
+// accept accepts waiting connections, in at most the given number of attempts. It reports whether the listener can continue
+// without a pause.
+func (ln *Listener) accept(attempts int) bool {
+	for range attempts {
 		fd, err := ln.loop.system.Accept(ln.fd)
 		switch {
 		case err == nil:
@@ -169,13 +187,13 @@
 	}
 }
 
-// Close accepts waiting connections, in at most maxAccepts attempts, and stops listening. It calls the callbacks for the
+// Close accepts waiting connections, in at most listenBacklog attempts, and stops listening. It calls the callbacks for the
 // accepted connections and the errors before it returns.
 func (ln *Listener) Close() {
 	if ln.isClosed {
 		return
 	}
-	ln.accept()
+	ln.accept(listenBacklog)
 	ln.isClosed = true
 	ln.loop.unregister(ln.fd)
 	if ln.spareFD >= 0 {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -53,12 +53,13 @@
 
 // roundInput holds the events and the input that a round gathered.
 type roundInput struct {
-	ready       []source       // sources whose report is called in this round
-	arena       []byte         // bytes read from all connections
-	isArenaFull bool           // at least one connection was not read because the arena was full
-	firstEvent  int            // index of the event that the next round handles first, modulo the number of events
-	discardBuf  [readSize]byte // receives the input of lingering connections, which is not used
-	peekBuf     [1]byte        // receives the byte that HasPendingInput peeks at
+	ready        []source       // sources whose report is called in this round
+	arena        []byte         // bytes read from all connections
+	isArenaFull  bool           // at least one connection was not read because the arena was full
+	wasArenaFull bool           // isArenaFull of the last round
+	firstEvent   int            // index of the event that the next round handles first, modulo the number of events
+	discardBuf   [readSize]byte // receives the input of lingering connections, which is not used
+	peekBuf      [1]byte        // receives the byte that HasPendingInput peeks at
 }
 
 // outputState is the output state of all connections.
@@ -189,6 +190,7 @@
 	in := &l.input
 	in.ready = append(in.ready[:0], l.output.failed...)
 	in.arena = in.arena[:0]
+	in.wasArenaFull, in.isArenaFull = in.isArenaFull, false
 	l.output.failed = l.output.failed[:0]
 	for i := range events {
 		event := events[(i+in.firstEvent)%len(events)]
@@ -198,7 +200,6 @@
 		}
 	}
 	if in.isArenaFull {
-		in.isArenaFull = false
 		in.firstEvent += arenaSize / readSize
 	}
 }
--- a/server/conns.go
+++ b/server/conns.go
@@ -14,6 +14,10 @@
 // the runtime.
 const reservedSockets = 24
 
+// acceptShareDivisor limits the connections that are accepted in one round to a part of the table, so that a new connection is
+// read before it can become the oldest one and is evicted.
+const acceptShareDivisor = 8
+
 // Bounds of the interval between scans for idle connections.
 const (
 	minIdleScanInterval = 10 * time.Millisecond
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -124,3 +124,32 @@
 		t.Errorf("answer on a new connection %+v, error %v; want status 200", a, err)
 	}
 }
+
+// TestCrowdDoesNotEvictUnreadConnection guards against the eviction of a gateway's connection before its first request was read,
+// when a crowd connects faster than the server reads.
+func TestCrowdDoesNotEvictUnreadConnection(t *testing.T) {
+	s, it := startServer(t)
+	it.FinishImmediately()
+	const crowd = 5 // times the size of the connection table
+	gateways := make([]*servertest.Gateway, crowd)
+	blocked, proceed := make(chan bool), make(chan bool)
+	s.loop.Post(func() { // all connections wait to be accepted in the same round
+		close(blocked)
+		<-proceed
+	})
+	<-blocked
+	for i := range gateways {
+		for range s.conns.max {
+			client := servertest.Dial(t, s.cfg.Listen.String())
+			client.Write(fake.EncodeIncomplete(1, MaxParamsBytes), fake.EncodeIncomplete(2, MaxParamsBytes))
+		}
+		gateways[i] = servertest.Dial(t, s.cfg.Listen.String())
+		gateways[i].Write(fake.NewLookup("x").Encode(1))
+	}
+	close(proceed)
+	for i, g := range gateways {
+		if a, err := g.TryResponse(1); err != nil || a.Status != statusOK {
+			t.Errorf("gateway %d: answer %+v, error %v; want status 200", i, a, err)
+		}
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -164,7 +164,11 @@
 		return err
 	}
 	var err error
-	s.listener, err = s.loop.Listen(s.cfg.Listen, eventloop.AcceptCallbacks{OnConn: s.accept, OnError: s.acceptError})
+	s.listener, err = s.loop.Listen(s.cfg.Listen, eventloop.AcceptCallbacks{
+		OnConn:      s.accept,
+		OnError:     s.acceptError,
+		MaxPerRound: max(s.conns.max/acceptShareDivisor, 1),
+	})
 	if err != nil {
 		return err
 	}
