--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -69,7 +69,7 @@
 	freeBuffers [][]byte // empty buffers for reuse
 	// unsent is the output of accepted connections that remained unsent after their last flush. If it exceeds
 	// maxUnsentBytes, the connection with the most unsent output is closed. Dialled connections do not count: their peers are
-	// backends, and what is sent to these are requests, which the server limits itself.
+	// backends, which are sent requests, and the server limits requests itself.
 	unsent         usage.Total[*Conn]
 	maxUnsentBytes int
 }
--- a/internal/fastcgi/memory.go
+++ b/internal/fastcgi/memory.go
@@ -6,7 +6,7 @@
 )
 
 // Complete requests may use completeShareNumerator/completeShareDenominator of Limits.TotalBytes. The rest is left for
-// requests that are being read: the handler needs the whole request to find out whether it is a retry.
+// requests that are being read: the handler can find out only then whether a request is a retry.
 const (
 	completeShareNumerator   = 3
 	completeShareDenominator = 4
@@ -38,8 +38,8 @@
 	return true
 }
 
-// addComplete adds n bytes, which may be negative, to the memory of complete requests. It reports whether these use no more
-// than their share.
+// addComplete adds n bytes, which may be negative, to the memory of complete requests. It reports whether these are
+// within their share.
 func (m *requestMemory) addComplete(n int) bool {
 	m.completeBytes += n
 	return m.completeBytes <= m.limit*completeShareNumerator/completeShareDenominator
@@ -69,3 +69,29 @@
 	largest.invalidate(gateway.OutOfMemory)
 	s.complete(largestID, largest)
 }
+
+// appendWithinLimits returns the collected part of a request with the added bytes. If they exceed a limit, it invalidates
+// the request and returns collected unchanged.
+func (s *Session) appendWithinLimits(req *request, collected, added []byte, limit int) []byte {
+	if len(collected)+len(added) > limit {
+		req.invalidate(gateway.TooLarge)
+		return collected
+	}
+	// Many connections that send requests slowly must not exhaust the process's memory.
+	if !s.shared.memory.reserve(s, len(added)) {
+		req.invalidate(gateway.OutOfMemory)
+		return collected
+	}
+	req.reservedBytes += len(added)
+	return append(collected, added...)
+}
+
+// reserveComplete reserves the memory that a complete request keeps until its response. It reports whether all complete
+// requests together are within their limit.
+func (s *Session) reserveComplete(req *request, parsed gateway.Request) bool {
+	req.reservedBytes = len(parsed.Body)
+	for name, value := range parsed.Params {
+		req.reservedBytes += len(name) + len(value)
+	}
+	return s.shared.memory.addComplete(req.reservedBytes)
+}
--- a/internal/fastcgi/memory_test.go
+++ b/internal/fastcgi/memory_test.go
@@ -160,7 +160,7 @@
 }
 
 // TestEndedForMemoryKeepsSession guards against the end of a session after many requests that were ended for lack of memory,
-// written at once or interleaved: the rest of their records must be skipped without an error.
+// written one by one or interleaved: the rest of their records must be skipped without an error.
 func TestEndedForMemoryKeepsSession(t *testing.T) {
 	const open, body = 32, 2000
 	g := newTestGateways(t, 1, Limits{OpenRequests: open, ParamBytes: 1000, BodyBytes: body, TotalBytes: 10})[0]
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// minSkipAllowance is how many bytes may be skipped after a valid request: see Session.skipAllowance.
-	minSkipAllowance = 64 << 10
 	// openRequestsFactor times Limits.OpenRequests is the maximum number of open requests of one session, whether complete
 	// or not. It is above 1 so that the handler can look up a request above Limits.OpenRequests before it rejects it.
 	openRequestsFactor = 2
@@ -19,12 +17,8 @@
 	maxRetainedControlBytes = 64
 )
 
-var (
-	// errSessionEnded stops the record reader of a connection that is to be closed. Feed does not return it.
-	errSessionEnded = errors.New("fastcgi: session ended")
-	// errTooManySkipped is returned once more bytes were skipped than the skip allowance permits.
-	errTooManySkipped = errors.New("fastcgi: too many bytes that belong to no request")
-)
+// errSessionEnded stops the record reader of a connection that is to be closed. Feed does not return it.
+var errSessionEnded = errors.New("fastcgi: session ended")
 
 // RequestError reports a record that violates the protocol. No more input can be read from the connection.
 type RequestError struct {
@@ -79,11 +73,8 @@
 	reader     recordReader
 	open       map[uint16]*request
 	controlBuf []byte // content of a BEGIN_REQUEST or management record
-	// skipAllowance is the number of bytes that may still be skipped: the rest of requests that were ended before their last
-	// byte, and records that belong to no request. Each request that begins adds its maximum size, so that requests which are
-	// ended one after the other do not end the connection, but an endless body soon does.
-	skipAllowance int
-	incomplete    int // number of open requests that are incomplete
+	skipped    skipAllowance
+	incomplete int // number of open requests that are incomplete
 	// incompleteMemory is the memory of the incomplete requests.
 	incompleteMemory usage.Account[*Session]
 	hasEnded         bool // input is ignored, and the connection is closed once the complete requests have responses
@@ -95,7 +86,14 @@
 func NewProtocol(limits Limits) gateway.Protocol {
 	shared := &sharedState{memory: requestMemory{limit: limits.TotalBytes}}
 	return func(out gateway.Output, h gateway.Handler) gateway.Session {
-		session := &Session{limits: limits, shared: shared, out: out, handler: h, open: map[uint16]*request{}, skipAllowance: minSkipAllowance}
+		session := &Session{
+			limits:  limits,
+			shared:  shared,
+			out:     out,
+			handler: h,
+			open:    map[uint16]*request{},
+			skipped: newSkipAllowance(limits),
+		}
 		session.incompleteMemory.Owner = session
 		return session
 	}
@@ -154,7 +152,7 @@
 	case header.hasControl() && len(s.controlBuf)+len(part) <= s.limits.ParamBytes:
 		s.controlBuf = append(s.controlBuf, part...)
 	default:
-		s.skipAllowance -= len(part)
+		s.skipped.skip(len(part))
 	}
 	// A request over a limit is rejected before its end, which may never arrive.
 	if isReading && req.isInvalid {
@@ -167,22 +165,6 @@
 	return h.recordType == typeBeginRequest || h.requestID == managementID
 }
 
-// appendWithinLimits returns the collected part of a request with the added bytes. If they exceed a limit, it invalidates
-// the request and returns collected unchanged.
-func (s *Session) appendWithinLimits(req *request, collected, added []byte, limit int) []byte {
-	if len(collected)+len(added) > limit {
-		req.invalidate(gateway.TooLarge)
-		return collected
-	}
-	// Many connections that send requests slowly must not exhaust the process's memory.
-	if !s.shared.memory.reserve(s, len(added)) {
-		req.invalidate(gateway.OutOfMemory)
-		return collected
-	}
-	req.reservedBytes += len(added)
-	return append(collected, added...)
-}
-
 // endRecord implements recordHandler. Input after the record that ends the session is ignored, in the same read and in
 // later ones.
 func (s *Session) endRecord(header recordHeader) error {
@@ -192,7 +174,7 @@
 		return err
 	case s.hasEnded:
 		return errSessionEnded
-	case s.skipAllowance < 0:
+	case s.skipped.isExceeded():
 		return errTooManySkipped
 	}
 	return nil
@@ -203,7 +185,7 @@
 func (s *Session) handleRecord(header recordHeader) error {
 	control := s.takeControl()
 	if header.requestID == managementID {
-		s.skipAllowance -= headerSize
+		s.skipped.skip(headerSize)
 		return s.handleManagement(header, control)
 	}
 	if header.recordType == typeBeginRequest {
@@ -211,7 +193,7 @@
 	}
 	req := s.open[header.requestID]
 	if req == nil {
-		s.skipEmptyRecord(header)
+		s.skipped.skipEmptyRecord(header)
 		return nil
 	}
 	isEndOfStream := header.contentLength == 0
@@ -230,21 +212,6 @@
 	return nil
 }
 
-// skipEmptyRecord counts a record that belongs to no request. The content of a record that is not empty was counted already.
-func (s *Session) skipEmptyRecord(header recordHeader) {
-	if header.contentLength == 0 {
-		s.skipAllowance -= headerSize
-	}
-}
-
-// extendSkipAllowance adds the maximum size of a request that begins, up to that of all requests that may be open.
-func (s *Session) extendSkipAllowance() {
-	const emptyRecords = 2 // at the ends of the parameters and of the body
-	requestSize := s.limits.ParamBytes + s.limits.BodyBytes + emptyRecords*headerSize
-	maxAllowance := minSkipAllowance + openRequestsFactor*s.limits.OpenRequests*requestSize
-	s.skipAllowance = min(s.skipAllowance+requestSize, maxAllowance)
-}
-
 // takeControl returns the content of a control record, which is valid until the next control record, and empties the
 // buffer. It does not keep a large buffer.
 func (s *Session) takeControl() []byte {
@@ -265,7 +232,7 @@
 	if s.open[id] != nil {
 		return &RequestError{ID: id, Reason: "BEGIN_REQUEST for a request that is already open"}
 	}
-	s.extendSkipAllowance()
+	s.skipped.requestBegun()
 	role := binary.BigEndian.Uint16(content)
 	keepConn := content[2]&flagKeepConn != 0
 	switch {
@@ -316,18 +283,8 @@
 		s.handler.RequestInvalid(s, gateway.StreamID(id), req.reason)
 		return
 	}
-	s.skipAllowance = max(s.skipAllowance, minSkipAllowance)
+	s.skipped.requestReceived()
 	hasMemory := s.reserveComplete(req, parsed)
 	parsed.ExceedsLimits = !hasMemory || len(s.open)-s.incomplete > s.limits.OpenRequests
 	s.handler.RequestReceived(s, gateway.StreamID(id), parsed)
 }
-
-// reserveComplete reserves the memory that a complete request keeps until its response. It reports whether all complete
-// requests together are within their limit.
-func (s *Session) reserveComplete(req *request, parsed gateway.Request) bool {
-	req.reservedBytes = len(parsed.Body)
-	for name, value := range parsed.Params {
-		req.reservedBytes += len(name) + len(value)
-	}
-	return s.shared.memory.addComplete(req.reservedBytes)
-}
--- a/server/conns.go
+++ b/server/conns.go
@@ -155,16 +155,16 @@
 	priority  evictionPriority // of the candidate
 	// awaitingCount is the number of connections that only wait for the rest of a request: see isAwaitingRequest.
 	awaitingCount        int
-	oldestAwaiting       *gatewayConn // the one that has waited longest, without unread bytes in its socket
+	oldestAwaiting       *gatewayConn // the longest waiting of them, without unread bytes in its socket
 	firstAwaitingPending *gatewayConn // the first one found with unread bytes in its socket
 }
 
 // evict closes a connection to make room for a new one, and reports whether it did. Clients that open hundreds of
 // connections and stay silent, halt in the middle of a request, or send one request and stay connected, must not keep
 // gateways out. It prefers connections that this side has half-closed, then silent ones, which have never sent a complete
-// request, then the one that has been idle longest, then one that has halted in the middle of a later request. If at least
-// half of all connections only wait for the rest of a request, it evicts the one that has waited longest, however short that
-// is, so that such connections can't take the half that gateways may need. A connection with unread bytes in its socket is
+// request, then idle ones, then those that have halted in the middle of a later request, and of these the least recently
+// active. If at least half of all connections only wait for the rest of a request, it evicts the longest waiting of them,
+// even if it is new, so that such connections can't take the half that gateways may need. A connection with unread bytes in its socket is
 // kept while there is another candidate: it may belong to a gateway whose request has just arrived.
 func (t *connTable) evict() bool {
 	scan := evictionScan{now: t.loop.Now()}
@@ -211,15 +211,15 @@
 }
 
 // priorityOf returns the priority of a connection.
-func (e *evictionScan) priorityOf(g *gatewayConn) evictionPriority {
+func (e *evictionScan) priorityOf(candidate *gatewayConn) evictionPriority {
 	switch {
-	case g.conn.IsClosing():
+	case candidate.conn.IsClosing():
 		return priorityClosing
-	case g.validRequests == 0 && e.now.Sub(g.incompleteSince) >= newConnGrace:
+	case candidate.validRequests == 0 && e.now.Sub(candidate.incompleteSince) >= newConnGrace:
 		return prioritySilent
-	case g.isAwaitingRequest() && e.now.Sub(g.incompleteSince) >= newConnGrace:
+	case candidate.isAwaitingRequest() && e.now.Sub(candidate.incompleteSince) >= newConnGrace:
 		return priorityStalled
-	case g.validRequests > 0 && g.isIdle() && e.now.Sub(g.conn.LastActivity()) >= minIdleBeforeEviction:
+	case candidate.validRequests > 0 && candidate.isIdle() && e.now.Sub(candidate.conn.LastActivity()) >= minIdleBeforeEviction:
 		return priorityIdle
 	default:
 		return priorityKeep
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -9,7 +9,7 @@
 )
 
 // fillRequestMemory has clients send incomplete requests until the memory for requests is full: first large ones, and then
-// smaller ones, which fit in what the large ones leave.
+// smaller ones, which fit in the rest.
 func fillRequestMemory(t *testing.T, s *Server) {
 	t.Helper()
 	for _, size := range []int{MaxParamsBytes, 1000, 60} {
@@ -126,7 +126,7 @@
 }
 
 // TestCrowdDoesNotEvictUnreadConnection guards against the eviction of a gateway's connection before its first request was read,
-// when a crowd connects faster than the server reads.
+// when many clients connect faster than the server reads.
 func TestCrowdDoesNotEvictUnreadConnection(t *testing.T) {
 	s, it := startServer(t)
 	it.FinishImmediately()
--- a/server/protocol_error_test.go
+++ b/server/protocol_error_test.go
@@ -16,7 +16,7 @@
 	g.Write(fake.NewLookup("runs").Encode(1))
 	run := it.WaitRuns(1)[0].ID
 	tooLong := fake.NewLookup(strings.Repeat("b", maxBodyBytes)).WithHeader("X", strings.Repeat("x", MaxParamsBytes))
-	const ended = 100 // their bodies have 200 KB, more than may be skipped at once
+	const ended = 100 // their bodies have 200 KB, more than minSkipAllowance of package fastcgi
 	for range ended {
 		g.Write(tooLong.Encode(2))
 		if a := g.WaitResponse(2); a.Status != statusTooLarge {
