--- a/internal/fastcgi/skip_allowance.go
+++ b/internal/fastcgi/skip_allowance.go
@@ -19,7 +19,7 @@
 
 // newSkipAllowance returns the allowance of a new connection.
 func newSkipAllowance(limits Limits) skipAllowance {
-	const emptyRecords = 2 // those that end the parameters and the body
+	const emptyRecords = 2 // at the end of the parameters and of the body
 	requestSize := limits.ParamBytes + limits.BodyBytes + emptyRecords*headerSize
 	return skipAllowance{
 		left:        minSkipAllowance,
@@ -38,7 +38,7 @@
 	}
 }
 
-// requestBegun adds the maximum size of a request, up to that of all requests that may be open.
+// requestBegun adds the maximum size of a request, up to the sum for all requests that may be open.
 func (a *skipAllowance) requestBegun() { a.left = min(a.left+a.requestSize, a.max) }
 
 // requestReceived restores the minimum after a valid request.
