--- a/server/conns.go
+++ b/server/conns.go
@@ -161,11 +161,12 @@
 
 // evict closes a connection to make room for a new one, and reports whether it did. Clients that open hundreds of
 // connections and stay silent, halt in the middle of a request, or send one request and stay connected, must not keep
-// gateways out. It prefers connections that this side has half-closed, then silent ones, which have never sent a complete
-// request, then idle ones, then connections halted in the middle of a later request, each time the least recently
-// active. If at least half of all connections only wait for the rest of a request, it evicts the longest waiting of them,
-// even if it is new, so that such connections can't take the half that gateways may need. A connection with unread bytes in its socket is
-// kept while there is another candidate: it may belong to a gateway whose request has just arrived.
+// gateways out. It prefers connections that this side has half-closed, then silent ones, which have never sent a
+// complete request, then idle ones, then connections halted in the middle of a later request, each time the least
+// recently active. If at least half of all connections only wait for the rest of a request, it evicts the longest
+// waiting of them, even if it is new, so that such connections can't take the half that gateways may need. A connection
+// with unread bytes in its socket is kept while there is another candidate: it may belong to a gateway whose request has
+// just arrived.
 func (t *connTable) evict() bool {
 	scan := evictionScan{now: t.loop.Now()}
 	for g := range t.all() {
