--- a/internal/store/disk_access.go
+++ b/internal/store/disk_access.go
@@ -77,30 +77,34 @@
 	}
 }
 
-// do makes one call to the disk.
-func (d *diskAccess) do(call func() error) error {
-	if err := d.begin(); err != nil {
-		return err
+// accessDisk makes one call to the disk and returns its results.
+func accessDisk[Result any](disk *diskAccess, call func() (Result, error)) (result Result, err error) {
+	if err := disk.begin(); err != nil {
+		return result, err
 	}
-	defer d.end()
+	defer disk.end()
 	return call()
 }
 
+// do makes one call to the disk that returns only an error.
+func (d *diskAccess) do(call func() error) error {
+	_, err := accessDisk(d, func() (struct{}, error) { return struct{}{}, call() })
+	return err
+}
+
 // open opens a file by one call to the disk.
 func (d *diskAccess) open(call func() (vfs.File, error), options ...vfs.OpenOption) (vfs.File, error) {
-	if err := d.begin(); err != nil {
-		return nil, err
-	}
-	defer d.end()
-	file, err := call()
-	if err != nil {
-		return nil, err
-	}
-	accessed := &accessedFile{File: file, disk: d}
-	for _, option := range options {
-		option.Apply(accessed)
-	}
-	return accessed, nil
+	return accessDisk(d, func() (vfs.File, error) {
+		file, err := call()
+		if err != nil {
+			return nil, err
+		}
+		accessed := &accessedFile{File: file, disk: d}
+		for _, option := range options {
+			option.Apply(accessed)
+		}
+		return accessed, nil
+	})
 }
 
 // Lock implements vfs.FS.
@@ -157,30 +161,18 @@
 }
 
 // List implements vfs.FS.
-func (d *diskAccess) List(dir string) (names []string, err error) {
-	err = d.do(func() error {
-		names, err = d.FS.List(dir)
-		return err
-	})
-	return names, err
+func (d *diskAccess) List(dir string) ([]string, error) {
+	return accessDisk(d, func() ([]string, error) { return d.FS.List(dir) })
 }
 
 // Stat implements vfs.FS.
-func (d *diskAccess) Stat(name string) (info os.FileInfo, err error) {
-	err = d.do(func() error {
-		info, err = d.FS.Stat(name)
-		return err
-	})
-	return info, err
+func (d *diskAccess) Stat(name string) (os.FileInfo, error) {
+	return accessDisk(d, func() (os.FileInfo, error) { return d.FS.Stat(name) })
 }
 
 // GetDiskUsage implements vfs.FS.
-func (d *diskAccess) GetDiskUsage(path string) (usage vfs.DiskUsage, err error) {
-	err = d.do(func() error {
-		usage, err = d.FS.GetDiskUsage(path)
-		return err
-	})
-	return usage, err
+func (d *diskAccess) GetDiskUsage(path string) (vfs.DiskUsage, error) {
+	return accessDisk(d, func() (vfs.DiskUsage, error) { return d.FS.GetDiskUsage(path) })
 }
 
 // accessedFile is a file that was opened through a diskAccess. Close always closes the file: it changes nothing on the disk.
@@ -190,39 +182,23 @@
 }
 
 // Read implements vfs.File.
-func (f *accessedFile) Read(p []byte) (n int, err error) {
-	err = f.disk.do(func() error {
-		n, err = f.File.Read(p)
-		return err
-	})
-	return n, err
+func (f *accessedFile) Read(p []byte) (int, error) {
+	return accessDisk(f.disk, func() (int, error) { return f.File.Read(p) })
 }
 
 // ReadAt implements vfs.File.
-func (f *accessedFile) ReadAt(p []byte, offset int64) (n int, err error) {
-	err = f.disk.do(func() error {
-		n, err = f.File.ReadAt(p, offset)
-		return err
-	})
-	return n, err
+func (f *accessedFile) ReadAt(p []byte, offset int64) (int, error) {
+	return accessDisk(f.disk, func() (int, error) { return f.File.ReadAt(p, offset) })
 }
 
 // Write implements vfs.File.
-func (f *accessedFile) Write(p []byte) (n int, err error) {
-	err = f.disk.do(func() error {
-		n, err = f.File.Write(p)
-		return err
-	})
-	return n, err
+func (f *accessedFile) Write(p []byte) (int, error) {
+	return accessDisk(f.disk, func() (int, error) { return f.File.Write(p) })
 }
 
 // WriteAt implements vfs.File.
-func (f *accessedFile) WriteAt(p []byte, offset int64) (n int, err error) {
-	err = f.disk.do(func() error {
-		n, err = f.File.WriteAt(p, offset)
-		return err
-	})
-	return n, err
+func (f *accessedFile) WriteAt(p []byte, offset int64) (int, error) {
+	return accessDisk(f.disk, func() (int, error) { return f.File.WriteAt(p, offset) })
 }
 
 // Preallocate implements vfs.File.
@@ -231,13 +207,7 @@
 }
 
 // Stat implements vfs.File.
-func (f *accessedFile) Stat() (info os.FileInfo, err error) {
-	err = f.disk.do(func() error {
-		info, err = f.File.Stat()
-		return err
-	})
-	return info, err
-}
+func (f *accessedFile) Stat() (os.FileInfo, error) { return accessDisk(f.disk, f.File.Stat) }
 
 // Sync implements vfs.File.
 func (f *accessedFile) Sync() error { return f.disk.do(f.File.Sync) }
@@ -247,9 +217,5 @@
 
 // SyncTo implements vfs.File.
 func (f *accessedFile) SyncTo(length int64) (isFullSync bool, err error) {
-	err = f.disk.do(func() error {
-		isFullSync, err = f.File.SyncTo(length)
-		return err
-	})
-	return isFullSync, err
+	return accessDisk(f.disk, func() (bool, error) { return f.File.SyncTo(length) })
 }
--- a/internal/store/engine.go
+++ b/internal/store/engine.go
@@ -39,7 +39,8 @@
 	maxL0Files = 1 << 20
 )
 
-// openEngine opens the database of a directory through the given access, which it detaches if it fails. The caller must hold the directory's lock, and the access of an earlier engine must be detached and idle.
+// openEngine opens the database of a directory through the given access, which it detaches if it fails. The caller must hold
+// the directory's lock, and the access of an earlier engine must be detached and idle.
 func openEngine(config Config, disk *diskAccess) (*engine, error) {
 	opened := &engine{disk: disk, failed: make(chan struct{})}
 	cache := pebble.NewCache(cacheBytes)
