Take the size of kept parameters from their encoding

For each request of the router, reserveComplete added up the names and values of a map, although the encoded parameters that were just parsed have a length. The account now also has the few bytes of the length prefixes, so the limit is no looser. The daemon keeps no parameters. A comment of the limit is clearer.

--- a/internal/fastcgi/memory.go
+++ b/internal/fastcgi/memory.go
@@ -6,7 +6,7 @@
 )
 
 // Complete requests may use completeShareNumerator/completeShareDenominator of Limits.TotalBytes. The rest is left for
-// requests that are being read: the handler can find out only then whether a request is a retry.
+// requests that are being read, because the handler can't find out whether a request is a retry before it has read it.
 const (
 	completeShareNumerator   = 3
 	completeShareDenominator = 4
@@ -88,10 +88,10 @@
 
 // reserveComplete reserves the memory that a complete request keeps until its response. It reports whether all complete
 // requests together are within their limit.
-func (s *Session) reserveComplete(req *request, parsed gateway.Request) bool {
-	req.reservedBytes = len(parsed.Body)
-	for name, value := range parsed.Params {
-		req.reservedBytes += len(name) + len(value)
+func (s *Session) reserveComplete(req *request) bool {
+	req.reservedBytes = len(req.body)
+	if s.limits.KeepParams {
+		req.reservedBytes += len(req.params)
 	}
 	return s.shared.memory.addComplete(req.reservedBytes)
 }
--- a/internal/fastcgi/session.go
+++ b/internal/fastcgi/session.go
@@ -277,14 +277,14 @@
 	if err != nil {
 		req.invalidate(gateway.Malformed)
 	}
-	req.params = nil
 	if req.isInvalid {
-		req.body = nil
+		req.params, req.body = nil, nil
 		s.handler.RequestInvalid(s, gateway.StreamID(id), req.reason)
 		return
 	}
 	s.skipped.requestReceived()
-	hasMemory := s.reserveComplete(req, parsed)
+	hasMemory := s.reserveComplete(req)
+	req.params = nil
 	parsed.ExceedsLimits = !hasMemory || len(s.open)-s.incomplete > s.limits.OpenRequests
 	s.handler.RequestReceived(s, gateway.StreamID(id), parsed)
 }
