Name the accept options and a connection of the eviction scan for what they are

AcceptCallbacks holds a limit as well since today, so it is AcceptOptions. The parameter of priorityOf was called candidate, which is a field of the scan with another meaning. No change of behaviour.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -19,8 +19,8 @@
 	acceptPause = 50 * time.Millisecond
 )
 
-// AcceptCallbacks holds the functions that a Listener calls for new connections.
-type AcceptCallbacks struct {
+// AcceptOptions configures how a Listener accepts connections, and holds the functions that it calls for them.
+type AcceptOptions struct {
 	// OnConn returns the handler of a new connection, or nil to reject it.
 	OnConn func(c *Conn) ConnHandler
 	// OnError is called with the error if a connection could not be accepted.
@@ -32,18 +32,18 @@
 
 // Listener accepts stream connections.
 type Listener struct {
-	loop      *Loop
-	fd        int
-	spareFD   int // reserve descriptor, closed to accept and reject a connection when descriptors run out; -1 if there is none
-	callbacks AcceptCallbacks
-	accepted  []int   // descriptors accepted in this round
-	errs      []error // errors of this round
-	isClosed  bool
-	isPaused  bool
+	loop     *Loop
+	fd       int
+	spareFD  int // reserve descriptor, closed to accept and reject a connection when descriptors run out; -1 if there is none
+	options  AcceptOptions
+	accepted []int   // descriptors accepted in this round
+	errs     []error // errors of this round
+	isClosed bool
+	isPaused bool
 }
 
 // Listen starts accepting connections on the address.
-func (l *Loop) Listen(addr netip.AddrPort, callbacks AcceptCallbacks) (*Listener, error) {
+func (l *Loop) Listen(addr netip.AddrPort, options AcceptOptions) (*Listener, error) {
 	fd, err := l.system.NewStreamSocket(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %v: %w", addr, err)
@@ -55,7 +55,7 @@
 		l.system.Close(fd)
 		return nil, fmt.Errorf("listen at %v: %w", addr, err)
 	}
-	ln := &Listener{loop: l, fd: fd, callbacks: callbacks, spareFD: openSpareFD(l.system)}
+	ln := &Listener{loop: l, fd: fd, options: options, spareFD: openSpareFD(l.system)}
 	if err := l.register(fd, unix.EPOLLIN, ln); err != nil {
 		l.system.Close(fd)
 		return nil, err
@@ -94,8 +94,8 @@
 	if ln.loop.input.wasArenaFull {
 		limit = maxAcceptsWhileFull
 	}
-	if ln.callbacks.MaxPerRound > 0 {
-		limit = min(limit, ln.callbacks.MaxPerRound)
+	if ln.options.MaxPerRound > 0 {
+		limit = min(limit, ln.options.MaxPerRound)
 	}
 	return limit
 }
@@ -167,7 +167,7 @@
 	accepted, errs := ln.accepted, ln.errs
 	ln.accepted, ln.errs = nil, nil
 	for _, err := range errs {
-		ln.callbacks.OnError(err)
+		ln.options.OnError(err)
 	}
 	for _, fd := range accepted {
 		ln.open(fd)
@@ -178,10 +178,10 @@
 func (ln *Listener) open(fd int) {
 	c, err := ln.loop.newConn(fd, unix.EPOLLIN, stateEstablished, nil)
 	if err != nil {
-		ln.callbacks.OnError(err)
+		ln.options.OnError(err)
 		return
 	}
-	c.handler = ln.callbacks.OnConn(c)
+	c.handler = ln.options.OnConn(c)
 	if c.handler == nil {
 		c.Close()
 	}
--- a/internal/eventloop/listener_test.go
+++ b/internal/eventloop/listener_test.go
@@ -38,7 +38,7 @@
 			t.Fatal(err)
 		}
 		reported := 0
-		ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), AcceptCallbacks{
+		ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), AcceptOptions{
 			OnConn:  func(*Conn) ConnHandler { l.Stop(); return newEchoHandler() },
 			OnError: func(err error) { reported++ }})
 		if err != nil {
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), AcceptCallbacks{
+	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), AcceptOptions{
 		OnConn: func(*Conn) ConnHandler { return h }, OnError: func(err error) { t.Error(err) }})
 	if err != nil {
 		t.Fatal(err)
--- a/server/conns.go
+++ b/server/conns.go
@@ -212,15 +212,15 @@
 }
 
 // priorityOf returns the priority of a connection.
-func (e *evictionScan) priorityOf(candidate *gatewayConn) evictionPriority {
+func (e *evictionScan) priorityOf(conn *gatewayConn) evictionPriority {
 	switch {
-	case candidate.conn.IsClosing():
+	case conn.conn.IsClosing():
 		return priorityClosing
-	case candidate.validRequests == 0 && e.now.Sub(candidate.incompleteSince) >= newConnGrace:
+	case conn.validRequests == 0 && e.now.Sub(conn.incompleteSince) >= newConnGrace:
 		return prioritySilent
-	case candidate.isAwaitingRequest() && e.now.Sub(candidate.incompleteSince) >= newConnGrace:
+	case conn.isAwaitingRequest() && e.now.Sub(conn.incompleteSince) >= newConnGrace:
 		return priorityStalled
-	case candidate.validRequests > 0 && candidate.isIdle() && e.now.Sub(candidate.conn.LastActivity()) >= minIdleBeforeEviction:
+	case conn.validRequests > 0 && conn.isIdle() && e.now.Sub(conn.conn.LastActivity()) >= minIdleBeforeEviction:
 		return priorityIdle
 	default:
 		return priorityKeep
--- a/server/server.go
+++ b/server/server.go
@@ -164,7 +164,7 @@
 		return err
 	}
 	var err error
-	s.listener, err = s.loop.Listen(s.cfg.Listen, eventloop.AcceptCallbacks{
+	s.listener, err = s.loop.Listen(s.cfg.Listen, eventloop.AcceptOptions{
 		OnConn:      s.accept,
 		OnError:     s.acceptError,
 		MaxPerRound: max(s.conns.max/acceptShareDivisor, 1),
