--- a/internal/router/shared_limits_test.go
+++ b/internal/router/shared_limits_test.go
@@ -3,26 +3,9 @@
 import (
 	"testing"
 
-	"tillerusher/internal/fake"
 	"tillerusher/internal/servertest"
-	"tillerusher/server"
 )
 
-// fillRequestMemory has clients send incomplete requests until the memory for requests is full.
-func fillRequestMemory(t *testing.T, r *Router) {
-	t.Helper()
-	for _, size := range []int{server.MaxParamsBytes, 1000, 60} {
-		ended := counter(t, r, "incomplete_ended")
-		for counter(t, r, "incomplete_ended") == ended {
-			client := servertest.Dial(t, listenAddr(r))
-			for id := range uint16(server.MaxOpenRequests) {
-				client.Write(fake.EncodeIncomplete(id+1, size))
-			}
-			onLoop(r, func() {})
-		}
-	}
-}
-
 // TestIncompleteRequestsDoNotRejectRanRequest guards against the rejection of a retry whose request a member has run, when
 // clients that halt in the middle of their requests hold all memory for requests. A large body must still be forwarded.
 func TestIncompleteRequestsDoNotRejectRanRequest(t *testing.T) {
@@ -34,7 +17,10 @@
 	if first.Status != 200 {
 		t.Fatalf("response to the first attempt %+v, want status 200", first)
 	}
-	fillRequestMemory(t, r)
+	servertest.FillRequestMemory(t, listenAddr(r), func() uint64 {
+		onLoop(r, func() {}) // the router reads in this round what was written before
+		return counter(t, r, "incomplete_ended")
+	})
 	g.Write(booking.WithHeader("Attempt-Again", "1").Encode(2))
 	if a := g.WaitResponse(2); a.Status != 200 || string(a.Body) != string(first.Body) {
 		t.Errorf("response to the retry %+v, want status 200 and body %q", a, first.Body)
--- a/server/memory_pressure_test.go
+++ b/server/memory_pressure_test.go
@@ -8,23 +8,10 @@
 	"tillerusher/internal/servertest"
 )
 
-// fillRequestMemory has clients send incomplete requests until the memory for requests is full: first large ones, and then
-// smaller ones, which fit in the rest.
-func fillRequestMemory(t *testing.T, s *Server) {
-	t.Helper()
-	for _, size := range []int{MaxParamsBytes, 1000, 60} {
-		for endedBefore := incompleteEnded(s); incompleteEnded(s) == endedBefore; {
-			client := servertest.Dial(t, s.cfg.Listen.String())
-			for id := range uint16(MaxOpenRequests) {
-				client.Write(fake.EncodeIncomplete(id+1, size))
-			}
-			waitRound(s)
-		}
-	}
-}
-
-// incompleteEnded returns the number of incomplete requests that were ended for lack of memory.
+// incompleteEnded returns the number of incomplete requests that a server has ended for lack of memory, after it has read
+// everything that was written to it before the call.
 func incompleteEnded(s *Server) (n uint64) {
+	waitRound(s)
 	onLoop(s, func() { n = s.counters.incompleteEnded })
 	return n
 }
@@ -47,7 +34,7 @@
 func TestIncompleteRequestsDoNotRejectRanRequest(t *testing.T) {
 	s, it := startServer(t)
 	g := serveReserve(t, s, it)
-	fillRequestMemory(t, s)
+	servertest.FillRequestMemory(t, s.cfg.Listen.String(), func() uint64 { return incompleteEnded(s) })
 	g.Write(fake.NewReserve(7, "x").WithHeader("Attempt-Again", "1").Encode(2))
 	if a := g.WaitResponse(2); a.Status != 200 || string(a.Body) != "done" {
 		t.Errorf("answer to the retry %+v, want status 200 and body done", a)
