--- /dev/null
+++ b/review/harness2/main.go
@@ -0,0 +1,73 @@
+// Command harness2 runs one case of the second independent review. It starts the project's program as a separate process
+// with the run command of deploy/balancer.toml, plays its clients and members with the stand-ins of internal/fake, writes
+// what was sent, answered and run to record.txt, and judges the rule of the case.
+//
+// The exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
+// environment, the case does the same without the disruption.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// The exit statuses.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// maxDuration is the longest time that a case may take. A case that takes longer ends as one that could not run.
+const maxDuration = 115 * time.Second
+
+// cases are the cases by the name that the scripts pass.
+var cases = map[string]func(w *world) (broken string, err error){
+	"reset":   runReset,
+	"quiet":   runQuiet,
+	"removed": runRemoved,
+	"reload":  runReload,
+}
+
+func main() { os.Exit(run()) }
+
+// run runs the case that the first argument names, with the folder of the case as the second argument.
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness2 CASE FOLDER")
+		return exitNotRun
+	}
+	w, err := newWorld(filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer w.close()
+	type verdict struct {
+		broken string
+		err    error
+	}
+	done := make(chan verdict, 1)
+	go func() {
+		broken, err := cases[os.Args[1]](w)
+		done <- verdict{broken, err}
+	}()
+	select {
+	case v := <-done:
+		switch {
+		case v.err != nil:
+			w.printf("NOT RUN: %v", v.err)
+			return exitNotRun
+		case v.broken != "":
+			w.printf("BROKEN: %s", v.broken)
+			return exitBroken
+		}
+		w.printf("HELD")
+		return exitHeld
+	case <-time.After(maxDuration):
+		w.printf("NOT RUN: the case took longer than %v", maxDuration)
+		return exitNotRun
+	}
+}
