--- a/review/harness2/world.go
+++ b/review/harness2/environment.go
@@ -25,8 +25,8 @@
 // stopWait is how long the end of a case waits for the program after SIGTERM.
 const stopWait = 8 * time.Second
 
-// world holds what one case starts: the record, the temporary folder and the program.
-type world struct {
+// environment holds everything that one case starts: the record, the temporary folder and the program.
+type environment struct {
 	trouble bool // whether the disruption is played
 	start   time.Time
 	folder  string // temporary
@@ -38,8 +38,8 @@
 	process *daemon.Process
 }
 
-// newWorld creates the record and the temporary folder of a case.
-func newWorld(recordFile string, trouble bool) (*world, error) {
+// newEnvironment creates the record and the temporary folder of a case.
+func newEnvironment(recordFile string, trouble bool) (*environment, error) {
 	record, err := os.Create(recordFile)
 	if err != nil {
 		return nil, err
@@ -49,22 +49,22 @@
 		record.Close()
 		return nil, err
 	}
-	w := &world{trouble: trouble, start: time.Now(), folder: folder, record: record}
-	w.printf("disruption: %t", trouble)
-	return w, nil
+	e := &environment{trouble: trouble, start: time.Now(), folder: folder, record: record}
+	e.printf("disruption: %t", trouble)
+	return e, nil
 }
 
 // printf writes one line to the record and to standard output.
-func (w *world) printf(format string, args ...any) {
-	line := fmt.Sprintf("%8.3f ", time.Since(w.start).Seconds()) + fmt.Sprintf(format, args...)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	fmt.Fprintln(w.record, line)
+func (e *environment) printf(format string, args ...any) {
+	line := fmt.Sprintf("%8.3f ", time.Since(e.start).Seconds()) + fmt.Sprintf(format, args...)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fmt.Fprintln(e.record, line)
 	fmt.Println(line)
 }
 
 // run starts the program by the run command of the deploy file, with arguments and further variables of the environment.
-func (w *world) run(arguments string, env ...string) error {
+func (e *environment) run(arguments string, env ...string) error {
 	text, err := os.ReadFile(deployFile)
 	if err != nil {
 		return err
@@ -73,29 +73,29 @@
 	if found == nil {
 		return errors.New("the deploy file has no run command")
 	}
-	command := strings.TrimSpace(w.prefix + string(found[1]) + " " + arguments)
-	w.printf("start: %s", command)
-	env = append(env, "TMPDIR="+w.folder)
-	w.process, err = daemon.Start(daemon.Command{Program: "/bin/sh", Args: []string{"-c", command}, Env: env, Core: daemon.AnyCore}, &w.log)
+	command := strings.TrimSpace(e.prefix + string(found[1]) + " " + arguments)
+	e.printf("start: %s", command)
+	env = append(env, "TMPDIR="+e.folder)
+	e.process, err = daemon.Start(daemon.Command{Program: "/bin/sh", Args: []string{"-c", command}, Env: env, Core: daemon.AnyCore}, &e.log)
 	return err
 }
 
 // close ends the program, adds its log to the record and removes the temporary folder.
-func (w *world) close() {
-	if w.process != nil {
-		w.process.Signal(syscall.SIGTERM) // fails only if the process has exited
-		if _, err := w.process.Wait(stopWait); err != nil {
-			w.process.Kill()
+func (e *environment) close() {
+	if e.process != nil {
+		e.process.Signal(syscall.SIGTERM) // fails only if the process has exited
+		if _, err := e.process.Wait(stopWait); err != nil {
+			e.process.Kill()
 		}
-		fmt.Fprintf(w.record, "log of the program:\n%s", w.log.String())
+		fmt.Fprintf(e.record, "log of the program:\n%s", e.log.String())
 	}
-	w.record.Close()
-	os.RemoveAll(w.folder)
+	e.record.Close()
+	os.RemoveAll(e.folder)
 }
 
 // waitLog waits until the program has logged a message.
-func (w *world) waitLog(message string) error {
-	return waitFor("log line "+message, func() bool { return w.log.Last(message, nil) != nil })
+func (e *environment) waitLog(message string) error {
+	return waitFor("log line "+message, func() bool { return e.log.Last(message, nil) != nil })
 }
 
 // waitTimeout is how long the set-up of a case waits for a condition.
@@ -115,25 +115,25 @@
 type router struct{ addr, file string }
 
 // startRouter starts a router with the routes, in which LISTEN stands for its address.
-func (w *world) startRouter(routes string) (router, error) {
+func (e *environment) startRouter(routes string) (router, error) {
 	addr, err := fake.FreeAddr()
 	if err != nil {
 		return router{}, err
 	}
-	r := router{addr: addr, file: filepath.Join(w.folder, "routes.sexp")}
-	if err := w.writeRoutes(r, routes); err != nil {
+	r := router{addr: addr, file: filepath.Join(e.folder, "routes.sexp")}
+	if err := e.writeRoutes(r, routes); err != nil {
 		return router{}, err
 	}
-	if err := w.run("route --config " + r.file + " --listen " + r.addr); err != nil {
+	if err := e.run("route --config " + r.file + " --listen " + r.addr); err != nil {
 		return router{}, err
 	}
-	return r, w.waitLog("interpreter up")
+	return r, e.waitLog("interpreter up")
 }
 
 // writeRoutes replaces the routes of a router.
-func (w *world) writeRoutes(r router, routes string) error {
+func (e *environment) writeRoutes(r router, routes string) error {
 	routes = strings.ReplaceAll(routes, "LISTEN", r.addr)
-	w.printf("routes:\n%s", routes)
+	e.printf("routes:\n%s", routes)
 	return replaceFile(r.file, routes)
 }
 
@@ -149,28 +149,28 @@
 const answerTimeout = 10 * time.Second
 
 // ask sends one request on a new connection and returns the status of the answer, or 0 if there is none.
-func (w *world) ask(addr, name string, request fake.Request) int {
+func (e *environment) ask(addr, name string, request fake.Request) int {
 	client, err := fake.Dial(addr)
 	if err != nil {
-		w.printf("%s: no connection: %v", name, err)
+		e.printf("%s: no connection: %v", name, err)
 		return 0
 	}
 	defer client.Close()
 	sent := time.Now()
 	if err := client.Write(request.Encode(1)); err != nil {
-		w.printf("%s: not sent: %v", name, err)
+		e.printf("%s: not sent: %v", name, err)
 		return 0
 	}
 	answer, err := client.ReadResponse(1, sent.Add(answerTimeout))
 	if err != nil {
-		w.printf("%s: no answer: %v", name, err)
+		e.printf("%s: no answer: %v", name, err)
 		return 0
 	}
 	status := answer.Status
 	if answer.ProtocolStatus != 0 {
 		status = 503
 	}
-	w.printf("%s: answer %d after %v %s", name, status, time.Since(sent).Round(time.Millisecond), answer.Body)
+	e.printf("%s: answer %d after %v %s", name, status, time.Since(sent).Round(time.Millisecond), answer.Body)
 	return status
 }
 
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -24,7 +24,7 @@
 const maxDuration = 115 * time.Second
 
 // cases are the cases by the name that the scripts pass.
-var cases = map[string]func(w *world) (broken string, err error){
+var cases = map[string]func(e *environment) (broken string, err error){
 	"reset":   runReset,
 	"quiet":   runQuiet,
 	"removed": runRemoved,
@@ -39,35 +39,35 @@
 		fmt.Fprintln(os.Stderr, "usage: harness2 CASE FOLDER")
 		return exitNotRun
 	}
-	w, err := newWorld(filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
+	e, err := newEnvironment(filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer w.close()
+	defer e.close()
 	type verdict struct {
 		broken string
 		err    error
 	}
 	done := make(chan verdict, 1)
 	go func() {
-		broken, err := cases[os.Args[1]](w)
+		broken, err := cases[os.Args[1]](e)
 		done <- verdict{broken, err}
 	}()
 	select {
 	case v := <-done:
 		switch {
 		case v.err != nil:
-			w.printf("NOT RUN: %v", v.err)
+			e.printf("NOT RUN: %v", v.err)
 			return exitNotRun
 		case v.broken != "":
-			w.printf("BROKEN: %s", v.broken)
+			e.printf("BROKEN: %s", v.broken)
 			return exitBroken
 		}
-		w.printf("HELD")
+		e.printf("HELD")
 		return exitHeld
 	case <-time.After(maxDuration):
-		w.printf("NOT RUN: the case took longer than %v", maxDuration)
+		e.printf("NOT RUN: the case took longer than %v", maxDuration)
 		return exitNotRun
 	}
 }
--- a/review/harness2/quiet.go
+++ b/review/harness2/quiet.go
@@ -19,13 +19,13 @@
 // runQuiet plays a small deployment of the router whose reads take a second each. After some traffic nobody sends anything
 // for a while, and then one caller sends reads one after the other. The rule is broken if none of them is served, although
 // the members are sound and idle before and after the quiet time and answer in the same time as before.
-func runQuiet(w *world) (broken string, err error) {
+func runQuiet(e *environment) (broken string, err error) {
 	members, list, err := startMembers(4, longReadTime)
 	if err != nil {
 		return "", err
 	}
 	defer stopMembers(members)
-	r, err := w.startRouter("(capacity 8)\n" +
+	r, err := e.startRouter("(capacity 8)\n" +
 		"(class lookup (aim 2400ms) (deadline 6100ms) (effect safe))\n" +
 		"(pool app" + list + " (keepalive 8))\n" +
 		"(server (listen LISTEN) (location prefix / (pool app) (class lookup)))\n")
@@ -34,24 +34,24 @@
 	}
 	served := 0
 	for round := range busyRounds {
-		served += w.askTogether(r.addr, fmt.Sprint("before, round ", round+1), busyReads)
+		served += e.askTogether(r.addr, fmt.Sprint("before, round ", round+1), busyReads)
 	}
-	w.printf("before the quiet time: %d of %d reads served", served, busyRounds*busyReads)
+	e.printf("before the quiet time: %d of %d reads served", served, busyRounds*busyReads)
 	if served < minServedBusy {
 		return "", fmt.Errorf("only %d reads before the quiet time were served", served)
 	}
-	if w.trouble {
-		w.printf("quiet for %v", quietTime)
+	if e.trouble {
+		e.printf("quiet for %v", quietTime)
 		time.Sleep(quietTime)
 	}
 	servedAfter, runsBefore := 0, runs(members)
 	for i := range readsAfter {
-		if w.ask(r.addr, fmt.Sprint("after, read ", i+1), get("/part")) == 200 {
+		if e.ask(r.addr, fmt.Sprint("after, read ", i+1), get("/part")) == 200 {
 			servedAfter++
 		}
 		time.Sleep(pauseBetween)
 	}
-	w.printf("after the quiet time: %d of %d reads served, %d reached a member", servedAfter, readsAfter, runs(members)-runsBefore)
+	e.printf("after the quiet time: %d of %d reads served, %d reached a member", servedAfter, readsAfter, runs(members)-runsBefore)
 	if servedAfter == 0 {
 		return "after the quiet time the router serves nothing any more, although the members are sound", nil
 	}
--- a/review/harness2/reload.go
+++ b/review/harness2/reload.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tillerusher/internal/daemon"
 	"tillerusher/internal/fake"
 )
@@ -16,8 +19,8 @@
 // The deployment and the disruptions of the case.
 const (
 	socketLimit    = 512 // descriptors of the program
-	crowdCallers   = 100
-	crowdConns     = 10 // open connections of each caller of the crowd
+	floodCallers   = 4
+	floodConns     = 250 // open connections of each caller
 	reloads        = 60
 	reloadInterval = 1200 * time.Millisecond
 	oldLinkGrace   = 1500 * time.Millisecond // after which the platform closes connections to the old addresses
@@ -25,10 +28,10 @@
 	gatewayPause   = 100 * time.Millisecond
 )
 
-// runReload plays new configurations, each with new addresses, while a crowd of silent connections comes and goes. The rule is
+// runReload plays new configurations, each with new addresses, while many silent connections are opened and closed. The rule is
 // broken if the program still does not use the new addresses waitTimeout and moveTimeout after a SIGHUP. Without the
-// disruption there is no crowd.
-func runReload(w *world) (broken string, err error) {
+// disruption no such connections are opened.
+func runReload(e *environment) (broken string, err error) {
 	interpreter, err := fake.NewInterpreter()
 	if err != nil {
 		return "", err
@@ -44,7 +47,11 @@
 	if err != nil {
 		return "", err
 	}
-	file := daemon.ConfigFile(filepath.Join(w.folder, "config.json"))
+	to, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return "", err
+	}
+	file := daemon.ConfigFile(filepath.Join(e.folder, "config.json"))
 	var current *proxy // the interpreter's present address
 	configure := func() error {
 		if current, err = startProxy(interpreter.Addr()); err != nil {
@@ -58,11 +65,11 @@
 	if err := configure(); err != nil {
 		return "", err
 	}
-	w.prefix = fmt.Sprintf("ulimit -n %d; ", socketLimit)
-	if err := w.run("", "RELAY_CONFIG="+string(file)); err != nil {
+	e.prefix = fmt.Sprintf("ulimit -n %d; ", socketLimit)
+	if err := e.run("", "RELAY_CONFIG="+string(file)); err != nil {
 		return "", err
 	}
-	if err := w.waitLog("interpreter up"); err != nil {
+	if err := e.waitLog("interpreter up"); err != nil {
 		return "", err
 	}
 	time.Sleep(time.Second)
@@ -70,11 +77,11 @@
 	var callers sync.WaitGroup
 	defer callers.Wait()
 	defer close(stop)
-	if w.trouble {
-		for range crowdCallers {
-			callers.Go(func() { crowd(listen, stop) })
+	if e.trouble {
+		for range floodCallers {
+			callers.Go(func() { flood(to, stop) })
 		}
-		w.printf("a crowd of %d silent connections comes and goes", crowdCallers*crowdConns)
+		e.printf("%d silent connections are opened and closed again and again", floodCallers*floodConns)
 		time.Sleep(time.Second)
 	}
 	counts := &gatewayCounts{}
@@ -84,15 +91,15 @@
 		if err := configure(); err != nil {
 			return "", err
 		}
-		if err := w.process.Signal(syscall.SIGHUP); err != nil {
+		if err := e.process.Signal(syscall.SIGHUP); err != nil {
 			return "", err
 		}
 		old.retire()
-		w.printf("reload %d: SIGHUP, the interpreter is now at %s; gateway so far: %s", n+1, current.addr(), counts)
+		e.printf("reload %d: SIGHUP, the interpreter is now at %s; gateway so far: %s", n+1, current.addr(), counts)
 		if waitFor("the link", current.hasLink) != nil {
 			before := counts.String()
 			time.Sleep(moveTimeout)
-			w.printf("gateway before and after %v: %s; %s", moveTimeout, before, counts)
+			e.printf("gateway before and after %v: %s; %s", moveTimeout, before, counts)
 			if current.hasLink() {
 				return "", fmt.Errorf("the link moved only after %v", waitTimeout)
 			}
@@ -101,7 +108,7 @@
 		time.Sleep(reloadInterval)
 	}
 	current.retire()
-	w.printf("gateway: %s", counts)
+	e.printf("gateway: %s", counts)
 	return "", nil
 }
 
@@ -174,26 +181,28 @@
 	})
 }
 
-// crowd opens connections and stays silent. Once it has crowdConns of them, it closes the oldest for each new one.
-func crowd(addr string, stop <-chan struct{}) {
-	var conns []net.Conn
+// flood opens connections without waiting for them and stays silent. Once it has floodConns of them, it closes the oldest for
+// each new one.
+func flood(to netip.AddrPort, stop <-chan struct{}) {
+	var sockets []int
 	for {
 		select {
 		case <-stop:
-			for _, c := range conns {
-				c.Close()
+			for _, fd := range sockets {
+				unix.Close(fd)
 			}
 			return
 		default:
 		}
-		conn, err := net.DialTimeout("tcp", addr, time.Second)
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		if conns = append(conns, conn); len(conns) > crowdConns {
-			conns[0].Close()
-			conns = conns[1:]
+		unix.Connect(fd, &unix.SockaddrInet4{Port: int(to.Port()), Addr: to.Addr().As4()}) // EINPROGRESS, or a failure, which is ignored
+		if sockets = append(sockets, fd); len(sockets) > floodConns {
+			unix.Close(sockets[0])
+			sockets = sockets[1:]
 		}
 	}
 }
--- a/review/harness2/removed.go
+++ b/review/harness2/removed.go
@@ -14,7 +14,7 @@
 // runRemoved plays a move of all traffic from two old members to a new one: the operator replaces the pool in the file of
 // routes and sends SIGHUP. A write that was sent to the first old member before is refused by it afterwards, as draining
 // servers do. The rule is broken if the second old member then runs the write: it was removed a second before.
-func runRemoved(w *world) (broken string, err error) {
+func runRemoved(e *environment) (broken string, err error) {
 	oldMembers, oldList, err := startMembers(2, 0)
 	if err != nil {
 		return "", err
@@ -31,34 +31,34 @@
 			"(pool " + pool + list + " (keepalive 8))\n" +
 			"(server (listen LISTEN) (location prefix / (pool " + pool + ") (class reserve)))\n"
 	}
-	r, err := w.startRouter(routes("blue", oldList))
+	r, err := e.startRouter(routes("blue", oldList))
 	if err != nil {
 		return "", err
 	}
-	if status := w.ask(r.addr, "write before", write(1)); status != 200 { // goes to the first old member
+	if status := e.ask(r.addr, "write before", write(1)); status != 200 { // goes to the first old member
 		return "", fmt.Errorf("the write before was answered with %d", status)
 	}
-	if status := w.ask(r.addr, "write before", write(2)); status != 200 { // goes to the second one
+	if status := e.ask(r.addr, "write before", write(2)); status != 200 { // goes to the second one
 		return "", fmt.Errorf("the write before was answered with %d", status)
 	}
 	oldMembers[0].SetBehavior(fake.Overloaded, refusalTime)
 	runsBefore := len(oldMembers[1].ReceivedParams())
 	answered := make(chan int)
-	go func() { answered <- w.ask(r.addr, "write during the move", write(3)) }()
+	go func() { answered <- e.ask(r.addr, "write during the move", write(3)) }()
 	if err := waitFor("the write at the first old member", func() bool { return len(oldMembers[0].ReceivedParams()) == 2 }); err != nil {
 		return "", err
 	}
-	if w.trouble {
-		if err := w.move(r, routes("green", newList)); err != nil {
+	if e.trouble {
+		if err := e.move(r, routes("green", newList)); err != nil {
 			return "", err
 		}
 	}
 	status := <-answered
 	time.Sleep(100 * time.Millisecond)
 	runsAtRemoved := len(oldMembers[1].ReceivedParams()) - runsBefore
-	w.printf("write during the move: answer %d; run %d times by the second old member, %d times by the new one", status, runsAtRemoved,
+	e.printf("write during the move: answer %d; run %d times by the second old member, %d times by the new one", status, runsAtRemoved,
 		len(newMembers[0].ReceivedParams()))
-	if w.trouble && runsAtRemoved > 0 {
+	if e.trouble && runsAtRemoved > 0 {
 		return "a member that was removed before has been sent a request and has run it", nil
 	}
 	return "", nil
@@ -66,18 +66,18 @@
 
 // move replaces the routes and waits until the router has them in force: it has logged so, and the new member has served a
 // write of another caller.
-func (w *world) move(r router, routes string) error {
-	w.printf("the file is replaced, SIGHUP")
-	if err := w.writeRoutes(r, routes); err != nil {
+func (e *environment) move(r router, routes string) error {
+	e.printf("the file is replaced, SIGHUP")
+	if err := e.writeRoutes(r, routes); err != nil {
 		return err
 	}
-	if err := w.process.Signal(syscall.SIGHUP); err != nil {
+	if err := e.process.Signal(syscall.SIGHUP); err != nil {
 		return err
 	}
-	if err := w.waitLog("routes reloaded"); err != nil {
+	if err := e.waitLog("routes reloaded"); err != nil {
 		return err
 	}
-	if status := w.ask(r.addr, "write of another caller after the move", write(4)); status != 200 {
+	if status := e.ask(r.addr, "write of another caller after the move", write(4)); status != 200 {
 		return fmt.Errorf("the write after the move was answered with %d", status)
 	}
 	return nil
--- a/review/harness2/reset.go
+++ b/review/harness2/reset.go
@@ -20,13 +20,13 @@
 // runReset plays a small deployment of the router: four sound members and callers that send a few reads a second. One
 // caller's connection is reset once, just as an answer arrives, while another read is open on it. The rule is broken if the
 // router then serves none of the reads of the last half of the judged time, although all members are idle and sound.
-func runReset(w *world) (broken string, err error) {
+func runReset(e *environment) (broken string, err error) {
 	members, list, err := startMembers(4, readTime)
 	if err != nil {
 		return "", err
 	}
 	defer stopMembers(members)
-	r, err := w.startRouter("(capacity 16)\n" +
+	r, err := e.startRouter("(capacity 16)\n" +
 		"(class lookup (aim 1400ms) (deadline 3700ms) (effect safe))\n" +
 		"(pool app" + list + " (keepalive 8))\n" +
 		"(server (listen LISTEN) (location prefix / (pool app) (class lookup)))\n")
@@ -35,13 +35,13 @@
 	}
 	served := 0
 	for range warmUpRounds {
-		served += w.askTogether(r.addr, "warm-up", roundReads)
+		served += e.askTogether(r.addr, "warm-up", roundReads)
 	}
-	w.printf("warm-up: %d of %d reads served", served, warmUpRounds*roundReads)
+	e.printf("warm-up: %d of %d reads served", served, warmUpRounds*roundReads)
 	if served < warmUpRounds*roundReads*9/10 {
 		return "", fmt.Errorf("only %d reads of the warm-up were served", served)
 	}
-	if err := w.resetAtAnswer(r.addr); err != nil {
+	if err := e.resetAtAnswer(r.addr); err != nil {
 		return "", err
 	}
 	servedLate, runsBefore := 0, 0
@@ -50,13 +50,13 @@
 		if round == judgedRounds/2 {
 			runsBefore = runs(members)
 		}
-		n := w.askTogether(r.addr, fmt.Sprint("round ", round+1), roundReads)
+		n := e.askTogether(r.addr, fmt.Sprint("round ", round+1), roundReads)
 		if round >= judgedRounds/2 {
 			servedLate += n
 		}
 	}
 	runsLate := runs(members) - runsBefore
-	w.printf("last %d rounds: %d of %d reads served, %d run by the members", judgedRounds/2, servedLate, judgedRounds/2*roundReads, runsLate)
+	e.printf("last %d rounds: %d of %d reads served, %d run by the members", judgedRounds/2, servedLate, judgedRounds/2*roundReads, runsLate)
 	if servedLate == 0 && runsLate == 0 {
 		return "the router runs and serves nothing any more, although all members are idle", nil
 	}
@@ -66,7 +66,7 @@
 // resetAtAnswer sends two reads on one connection, the second one half a read later, and waits for the answer of the first.
 // Then it resets the connection, with the second read open on it. Without the disruption it waits for the second answer and
 // closes the connection.
-func (w *world) resetAtAnswer(addr string) error {
+func (e *environment) resetAtAnswer(addr string) error {
 	client, err := fake.Dial(addr)
 	if err != nil {
 		return err
@@ -82,25 +82,25 @@
 	if err != nil {
 		return err
 	}
-	w.printf("caller: answer %d to the first of two reads", answer.Status)
-	if w.trouble {
+	e.printf("caller: answer %d to the first of two reads", answer.Status)
+	if e.trouble {
 		reset(client)
-		w.printf("caller: connection reset with the second read open")
+		e.printf("caller: connection reset with the second read open")
 		return nil
 	}
 	if answer, err = client.ReadResponse(2, time.Now().Add(answerTimeout)); err != nil {
 		return err
 	}
-	w.printf("caller: answer %d to the second read", answer.Status)
+	e.printf("caller: answer %d to the second read", answer.Status)
 	client.Close()
 	return nil
 }
 
 // askTogether sends n reads at once, each on its own connection, and returns how many were served.
-func (w *world) askTogether(addr, name string, n int) (served int) {
+func (e *environment) askTogether(addr, name string, n int) (served int) {
 	statuses := make(chan int)
 	for i := range n {
-		go func() { statuses <- w.ask(addr, fmt.Sprintf("%s, read %d", name, i+1), get("/part")) }()
+		go func() { statuses <- e.ask(addr, fmt.Sprintf("%s, read %d", name, i+1), get("/part")) }()
 	}
 	for range n {
 		if <-statuses == 200 {
