--- a/review/harness2/environment.go
+++ b/review/harness2/environment.go
@@ -25,17 +25,22 @@
 // stopWait is how long the end of a case waits for the program after SIGTERM.
 const stopWait = 8 * time.Second
 
-// environment holds everything that one case starts: the record, the temporary folder and the program.
+// environment holds everything that one case starts: the record, the temporary folder and the programs.
 type environment struct {
 	trouble bool // whether the disruption is played
 	start   time.Time
 	folder  string // temporary
 	prefix  string // of the run command
 
-	mu      sync.Mutex
-	record  *os.File
-	log     daemon.Log
-	process *daemon.Process
+	mu       sync.Mutex
+	record   *os.File
+	programs []*program
+}
+
+// program is one started program of the project.
+type program struct {
+	*daemon.Process
+	log daemon.Log
 }
 
 // newEnvironment creates the record and the temporary folder of a case.
@@ -63,39 +68,46 @@
 	fmt.Println(line)
 }
 
-// run starts the program by the run command of the deploy file, with arguments and further variables of the environment.
-func (e *environment) run(arguments string, env ...string) error {
+// run starts a program by the run command of the deploy file, with arguments and further variables of the environment.
+func (e *environment) run(arguments string, env ...string) (*program, error) {
 	text, err := os.ReadFile(deployFile)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	found := runPattern.FindSubmatch(text)
 	if found == nil {
-		return errors.New("the deploy file has no run command")
+		return nil, errors.New("the deploy file has no run command")
 	}
 	command := strings.TrimSpace(e.prefix + string(found[1]) + " " + arguments)
 	e.printf("start: %s", command)
 	env = append(env, "TMPDIR="+e.folder)
-	e.process, err = daemon.Start(daemon.Command{Program: "/bin/sh", Args: []string{"-c", command}, Env: env, Core: daemon.AnyCore}, &e.log)
-	return err
+	started := &program{}
+	shell := daemon.Command{Program: "/bin/sh", Args: []string{"-c", command}, Env: env, Core: daemon.AnyCore}
+	if started.Process, err = daemon.Start(shell, &started.log); err != nil {
+		return nil, err
+	}
+	e.programs = append(e.programs, started)
+	return started, nil
 }
 
-// close ends the program, adds its log to the record and removes the temporary folder.
+// close ends the programs, adds their logs to the record and removes the temporary folder.
 func (e *environment) close() {
-	if e.process != nil {
-		e.process.Signal(syscall.SIGTERM) // fails only if the process has exited
-		if _, err := e.process.Wait(stopWait); err != nil {
-			e.process.Kill()
+	for _, p := range e.programs {
+		p.Signal(syscall.SIGTERM) // fails only if the process has exited
+	}
+	for i, p := range e.programs {
+		if _, err := p.Wait(stopWait); err != nil {
+			p.Kill()
 		}
-		fmt.Fprintf(e.record, "log of the program:\n%s", e.log.String())
+		fmt.Fprintf(e.record, "log of program %d:\n%s", i+1, p.log.String())
 	}
 	e.record.Close()
 	os.RemoveAll(e.folder)
 }
 
 // waitLog waits until the program has logged a message.
-func (e *environment) waitLog(message string) error {
-	return waitFor("log line "+message, func() bool { return e.log.Last(message, nil) != nil })
+func (p *program) waitLog(message string) error {
+	return waitFor("log line "+message, func() bool { return p.log.Last(message, nil) != nil })
 }
 
 // waitTimeout is how long the set-up of a case waits for a condition.
@@ -112,7 +124,10 @@
 }
 
 // router is a running router.
-type router struct{ addr, file string }
+type router struct {
+	*program
+	addr, file string
+}
 
 // startRouter starts a router with the routes, in which LISTEN stands for its address.
 func (e *environment) startRouter(routes string) (router, error) {
@@ -120,14 +135,14 @@
 	if err != nil {
 		return router{}, err
 	}
-	r := router{addr: addr, file: filepath.Join(e.folder, "routes.sexp")}
+	r := router{addr: addr, file: filepath.Join(e.folder, fmt.Sprintf("routes%d.sexp", len(e.programs)+1))}
 	if err := e.writeRoutes(r, routes); err != nil {
 		return router{}, err
 	}
-	if err := e.run("route --config " + r.file + " --listen " + r.addr); err != nil {
+	if r.program, err = e.run("route --config " + r.file + " --listen " + r.addr); err != nil {
 		return router{}, err
 	}
-	return r, e.waitLog("interpreter up")
+	return r, r.waitLog("interpreter up")
 }
 
 // writeRoutes replaces the routes of a router.
@@ -137,6 +152,18 @@
 	return replaceFile(r.file, routes)
 }
 
+// reload replaces the routes of a router, sends it SIGHUP and waits until it has logged that they are in force.
+func (e *environment) reload(r router, routes string) error {
+	e.printf("the file is replaced, SIGHUP")
+	if err := e.writeRoutes(r, routes); err != nil {
+		return err
+	}
+	if err := r.Signal(syscall.SIGHUP); err != nil {
+		return err
+	}
+	return r.waitLog("routes reloaded")
+}
+
 // replaceFile replaces a file atomically.
 func replaceFile(name, text string) error {
 	if err := os.WriteFile(name+".new", []byte(text), 0o600); err != nil {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -25,10 +25,11 @@
 
 // cases are the cases by the name that the scripts pass.
 var cases = map[string]func(e *environment) (broken string, err error){
-	"reset":   runReset,
-	"quiet":   runQuiet,
-	"removed": runRemoved,
-	"reload":  runReload,
+	"reset":       runReset,
+	"maintenance": runMaintenance,
+	"quiet":       runQuiet,
+	"removed":     runRemoved,
+	"reload":      runReload,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness2/reload.go
+++ b/review/harness2/reload.go
@@ -66,10 +66,11 @@
 		return "", err
 	}
 	e.prefix = fmt.Sprintf("ulimit -n %d; ", socketLimit)
-	if err := e.run("", "RELAY_CONFIG="+string(file)); err != nil {
+	server, err := e.run("", "RELAY_CONFIG="+string(file))
+	if err != nil {
 		return "", err
 	}
-	if err := e.waitLog("interpreter up"); err != nil {
+	if err := server.waitLog("interpreter up"); err != nil {
 		return "", err
 	}
 	time.Sleep(time.Second)
@@ -91,7 +92,7 @@
 		if err := configure(); err != nil {
 			return "", err
 		}
-		if err := e.process.Signal(syscall.SIGHUP); err != nil {
+		if err := server.Signal(syscall.SIGHUP); err != nil {
 			return "", err
 		}
 		old.retire()
--- a/review/harness2/removed.go
+++ b/review/harness2/removed.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 
 	"tillerusher/internal/fake"
@@ -67,14 +66,7 @@
 // move replaces the routes and waits until the router has them in force: it has logged so, and the new member has served a
 // write of another caller.
 func (e *environment) move(r router, routes string) error {
-	e.printf("the file is replaced, SIGHUP")
-	if err := e.writeRoutes(r, routes); err != nil {
-		return err
-	}
-	if err := e.process.Signal(syscall.SIGHUP); err != nil {
-		return err
-	}
-	if err := e.waitLog("routes reloaded"); err != nil {
+	if err := e.reload(r, routes); err != nil {
 		return err
 	}
 	if status := e.ask(r.addr, "write of another caller after the move", write(4)); status != 200 {
