End the program of a review case also when its script is ended

harness2 handles SIGTERM and SIGINT (tried: exit 2, no process left) and a case takes 116 s at the most.

--- a/review/harness2/environment.go
+++ b/review/harness2/environment.go
@@ -22,8 +22,8 @@
 // runPattern finds the run command in the deploy file.
 var runPattern = regexp.MustCompile(`(?m)^run = "(.*)"$`)
 
-// stopWait is how long the end of a case waits for the program after SIGTERM.
-const stopWait = 8 * time.Second
+// stopWait is how long the end of a case waits for a program after SIGTERM, longer than the stop timeouts of the programs.
+const stopWait = 6 * time.Second
 
 // environment holds everything that one case starts: the record, the temporary folder and the programs.
 type environment struct {
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -9,7 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -21,7 +23,7 @@
 )
 
 // maxDuration is the longest time that a case may take. A case that takes longer ends as one that could not run.
-const maxDuration = 115 * time.Second
+const maxDuration = 110 * time.Second
 
 // cases are the cases by the name that the scripts pass.
 var cases = map[string]func(e *environment) (broken string, err error){
@@ -55,7 +57,12 @@
 		broken, err := cases[os.Args[1]](e)
 		done <- verdict{broken, err}
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	select {
+	case signal := <-interrupted:
+		e.printf("NOT RUN: %v", signal)
+		return exitNotRun
 	case v := <-done:
 		switch {
 		case v.err != nil:
