--- a/review/harness2/environment.go
+++ b/review/harness2/environment.go
@@ -123,6 +123,10 @@
 	return nil
 }
 
+// firstService is how long a case waits after the start of a program before anything else. The platform sends no SIGHUP in the
+// first second of service.
+const firstService = 1200 * time.Millisecond
+
 // router is a running router.
 type router struct {
 	*program
@@ -142,7 +146,11 @@
 	if r.program, err = e.run("route --config " + r.file + " --listen " + r.addr); err != nil {
 		return router{}, err
 	}
-	return r, r.waitLog("interpreter up")
+	if err := r.waitLog("interpreter up"); err != nil {
+		return router{}, err
+	}
+	time.Sleep(firstService)
+	return r, nil
 }
 
 // writeRoutes replaces the routes of a router.
--- a/review/harness2/reload.go
+++ b/review/harness2/reload.go
@@ -73,7 +73,7 @@
 	if err := server.waitLog("interpreter up"); err != nil {
 		return "", err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(firstService)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	defer callers.Wait()
